--- a/pierusher/benchlink.py
+++ b/pearstall/adapter.py
@@ -11,7 +11,8 @@
 from struct import Struct
 from typing import Any, BinaryIO
 
-from pierusher.interface import (
+from pearstall.choice import Router
+from pearstall.interface import (
     Action,
     Cancel,
     ClientGone,
@@ -32,7 +33,6 @@
     Subscribe,
     Timer,
 )
-from pierusher.router import Router
 
 BATCH = Struct("<IQII")
 REPLY = Struct("<III")
--- a/pierusher/router.py
+++ b/pearstall/choice.py
@@ -1,4 +1,4 @@
-"""Every decision of a gateway. Its interface, the settings, events and actions, is pierusher/interface.py.
+"""Every decision of a gateway. Its interface, the settings, events and actions, is pearstall/interface.py.
 
 A gateway makes one `Router(settings, seed)`, calls `start(now)` once, then `handle(now, event)` for each
 event, and carries out the returned actions in order. The router keeps no clock, does no I/O and shares
@@ -12,7 +12,7 @@
 from random import Random
 from typing import Any
 
-from pierusher.interface import (
+from pearstall.interface import (
     NEVER_RAN,
     Action,
     Cancel,
--- a/pierusher/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""pierusher: the decisions of a request router for fleets of language-model servers."""
--- a/tests/support.py
+++ b/tests/support.py
@@ -4,7 +4,8 @@
 
 from typing import Any
 
-from pierusher.interface import (
+from pearstall.choice import Router
+from pearstall.interface import (
     Action,
     Event,
     FirstToken,
@@ -22,7 +23,6 @@
     State,
     Timer,
 )
-from pierusher.router import Router
 
 MS = 1000
 S = 1_000_000
--- a/tests/test_interface.py
+++ b/tests/test_interface.py
@@ -1,6 +1,6 @@
 import pytest
 
-from pierusher.interface import Effect, Scope, Settings
+from pearstall.interface import Effect, Scope, Settings
 
 GOOD = {"classes": [{"aim": 1000, "give_up": 5000}]}
 
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from pierusher import router as module
-from pierusher.interface import ListKind, Result, Send, State, Timer
+from pearstall import choice as module
+from pearstall.interface import ListKind, Result, Send, State, Timer
 from tests.support import MS, Gateway, S, entry, of, settings
 
 LONG = 100 * S
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -7,7 +7,8 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from pierusher.interface import (
+from pearstall.choice import Router
+from pearstall.interface import (
     NEVER_RAN,
     Action,
     Cancel,
@@ -33,7 +34,6 @@
     Subscribe,
     Timer,
 )
-from pierusher.router import Router
 
 MS = 1000
 S = 1_000_000
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -1,7 +1,7 @@
 """Troubles found, each as the events a gateway sees of it."""
 
-from pierusher import router as module
-from pierusher.interface import (
+from pearstall import choice as module
+from pearstall.interface import (
     Cancel,
     Fail,
     ListKind,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,8 @@
 
 import pytest
 
-from pierusher.benchlink import Link, settings_from_wire
-from pierusher.interface import Effect, Scope
+from pearstall.adapter import Link, settings_from_wire
+from pearstall.interface import Effect, Scope
 
 ROOT = Path(__file__).parent.parent
 SEED, ONE, ID = 5, 1_000_000, 77
@@ -64,7 +64,7 @@
 
 
 def exchange(data: bytes) -> subprocess.CompletedProcess[bytes]:
-    command = [sys.executable, "-m", "pierusher.benchlink"]
+    command = [sys.executable, "-m", "pearstall.adapter"]
     return subprocess.run(command, input=data, capture_output=True, cwd=ROOT, timeout=60, check=False)
 
 
