--- /dev/null
+++ b/pearstall/net/__init__.py
@@ -0,0 +1,1 @@
+"""The router on sockets."""
--- /dev/null
+++ b/pearstall/net/client_link.py
@@ -0,0 +1,312 @@
+"""Links from clients: one query at a time, in either front's form."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import traceback
+from typing import Protocol
+
+from pearstall.net.buffer import Buffer
+from pearstall.net.core import Core, Query
+from pearstall.net.counters import Counters
+from pearstall.net.deadlines import Deadline
+from pearstall.net.http1 import LAST_CHUNK, Body, Head, Malformed, Reply, body_of, chunk, read_head
+from pearstall.net.slots import Slots
+
+LARGEST_BODY = 256 * 1024
+MOST_AHEAD = 64 * 1024  # read of a next query while one is under way
+MOST_GATHERED = 4 << 20  # of an answer that is given whole
+READ_LIMIT = 30.0  # for a query to come whole
+IDLE_LIMIT = 120.0
+UNSENT = 64 * 1024  # towards a client, before its server link is paused
+LINGER = 2.0  # a link closed while more may come
+
+
+class Front(Protocol):
+    """A wire form: reads queries and words final answers."""
+
+    def check(self, head: Head) -> Reply | None:
+        """From the head alone: an answer that needs no query, or none."""
+
+    def read(self, head: Head, body: bytes, came: float, answer: ClientLink) -> Query | Reply: ...
+
+    def malformed(self, why: Malformed) -> Reply: ...
+
+    def refused(self, retry_after: int) -> Reply: ...
+
+    def failed(self, timed_out: bool) -> Reply: ...
+
+    def whole(self, head: Head, events: bytes) -> Reply:
+        """The answer where the client wanted no stream."""
+
+    def streams(self, head: Head, body: bytes) -> bool: ...
+
+
+class ClientLink(asyncio.BufferedProtocol):
+    def __init__(self, owner: ClientLinks, front: Front) -> None:
+        self.owner = owner
+        self.front = front
+        self.buffer = Buffer()
+        self.handle = 0
+        self.transport: asyncio.Transport | None = None
+        self.head: Head | None = None
+        self.body: Body | None = None
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.came = 0.0
+        self.query: Query | None = None  # the one under way
+        self.busy = False
+        self.streams = True
+        self.begun = False
+        self.gathered: list[bytes] = []
+        self.gathered_size = 0
+        self.keeps = True
+        self.carried = 0  # queries so far
+        self.closing = False
+        self.deadline: Deadline | None = None
+
+    @property
+    def idle(self) -> bool:
+        return not self.busy and self.head is None and not len(self.buffer)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        transport.set_write_buffer_limits(UNSENT)
+        self.handle = self.owner.links.add(self)
+        self.owner.accepted(self)
+        self._wait(IDLE_LIMIT)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.owner.links.remove(self.handle)
+        self._wait(0)
+        if self.busy and self.query is not None:
+            self.busy = False
+            self.owner.core.client_gone(self.query.handle)
+        self.closing = True
+
+    def eof_received(self) -> bool:
+        return False  # a client that closes has gone: connection_lost follows
+
+    def _wait(self, limit: float) -> None:
+        if self.deadline is not None:
+            self.deadline.cancel()
+            self.deadline = None
+        if limit:
+            self.deadline = self.owner.deadlines.after(limit, self.close)
+
+    # -- reading -------------------------------------------------------------------------------------------
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.wrote(nbytes)
+        if self.closing:
+            self.buffer.skip(len(self.buffer))
+            return
+        if self.busy:
+            if len(self.buffer) > MOST_AHEAD:
+                self.close()  # nobody sends so much ahead, and paused reading would hide that it has gone
+            return
+        try:
+            self._read()
+        except Exception as error:  # stops here: no other link is harmed
+            self.owner.counters.exceptions += 1
+            print_error(error)
+            if self.busy or self.closing:
+                self.close()
+            else:
+                self._reply(self.front.failed(False), last=True)
+
+    def _read(self) -> None:
+        """Runs from the last answer's end to the next query's last byte."""
+        while not self.busy and not self.closing and len(self.buffer):
+            if self.head is None:
+                if not self.came:
+                    self.came = self.owner.deadlines.clock.time()
+                    self._wait(READ_LIMIT)
+                head = read_head(self.buffer)
+                if head is None:
+                    return
+                if isinstance(head, Malformed):
+                    self._bad(head)
+                    return
+                body = body_of(head)
+                if isinstance(body, Malformed):
+                    self._bad(body)
+                    return
+                self.head, self.body = head, body
+                self.parts, self.size = [], 0
+                self.keeps = head.keeps
+                if body.left > LARGEST_BODY:
+                    self._bad(Malformed("the body is too large", 413))
+                    return
+                if head.headers.get("expect", "").lower() == "100-continue" and not body.done:
+                    self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            assert self.body is not None
+            data = self.body.feed(self.buffer)
+            if isinstance(data, Malformed):
+                self._bad(data)
+                return
+            if data:
+                self.parts.append(data)
+                self.size += len(data)
+            if self.size > LARGEST_BODY or (self.body.chunked and self.body.left > LARGEST_BODY):
+                self._bad(Malformed("the body is too large", 413))
+                return
+            if not self.body.done:
+                return
+            self._whole(self.head, b"".join(self.parts))
+
+    def _whole(self, head: Head, body: bytes) -> None:
+        self._wait(0)
+        self.parts = []
+        direct = self.front.check(head)
+        if direct is not None:
+            self._reply(direct)
+            return
+        query = self.front.read(head, body, self.came, self)
+        if isinstance(query, Reply):
+            self.owner.counters.malformed += 1
+            self._reply(query)
+            return
+        self.streams = self.front.streams(head, body)
+        self.begun = False
+        self.gathered, self.gathered_size = [], 0
+        self.busy = True
+        self.carried += 1
+        query.answer = self
+        self.query = query
+        self.owner.core.take(query)
+
+    def _bad(self, why: Malformed) -> None:
+        self.owner.counters.malformed += 1
+        self._reply(self.front.malformed(why), last=True)
+
+    # -- the final answer ----------------------------------------------------------------------------------
+
+    def pass_on(self, events: bytes) -> bool:
+        if self.closing:
+            return False
+        if not self.streams:
+            self.gathered.append(events)
+            self.gathered_size += len(events)
+            if self.gathered_size > MOST_GATHERED:
+                self.close()
+            return False
+        if not self.begun:
+            self.begun = True
+            lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Cache-Control: no-cache"]
+            lines.append("Transfer-Encoding: chunked")
+            if self._last():
+                lines.append("Connection: close")
+            self._write("\r\n".join([*lines, "", ""]).encode() + chunk(events))
+        else:
+            self._write(chunk(events))
+        return True
+
+    def finish(self) -> None:
+        if not self.streams:
+            assert self.head is not None
+            self._reply(self.front.whole(self.head, b"".join(self.gathered)))
+        elif not self.begun:
+            self._reply(self.front.failed(False))  # a stream without a single event
+        else:
+            self._write(LAST_CHUNK)
+            self._next()
+
+    def cut(self) -> None:
+        """What was passed on goes out first; then the link ends, without the last chunk."""
+        self.busy = False
+        self.close()
+
+    def refuse(self, retry_after: int) -> None:
+        self.owner.counters.refused += 1
+        self._reply(self.front.refused(retry_after))
+
+    def fail(self, timed_out: bool) -> None:
+        self.owner.counters.failed += 1
+        self._reply(self.front.failed(timed_out))
+
+    def _last(self) -> bool:
+        """Whether the link ends after this answer. Before the program ends, clients are invited off."""
+        if self.owner.leaving:
+            self.keeps = False
+        return not self.keeps
+
+    def _reply(self, reply: Reply, last: bool = False) -> None:
+        self.keeps = self.keeps and not last
+        self._write(reply.encode(self._last()))
+        self._next()
+
+    def _write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+
+    def _next(self) -> None:
+        self.busy = False
+        self.head = self.body = None
+        self.came = 0.0
+        self.gathered = []
+        if not self.keeps or self.owner.leaving:
+            self._linger()
+            return
+        self._wait(IDLE_LIMIT)
+        if len(self.buffer):
+            asyncio.get_running_loop().call_soon(self.buffer_updated, 0)
+
+    def _linger(self) -> None:
+        """Ends sending, and reads on for a moment: a reset would take the answer from under the client."""
+        self.closing = True
+        self.buffer.skip(len(self.buffer))
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write_eof()
+            self._wait(LINGER)
+
+    def close(self) -> None:
+        self.closing = True
+        if self.transport is not None:
+            self.transport.close()
+
+    def pause_writing(self) -> None:
+        if self.query is not None:
+            self.owner.core.pause(self.query.handle, True)
+
+    def resume_writing(self) -> None:
+        if self.query is not None:
+            self.owner.core.pause(self.query.handle, False)
+
+
+def print_error(error: Exception) -> None:
+    where = traceback.extract_tb(error.__traceback__)[-1]
+    print(f"exception at {where.filename}:{where.lineno}: {type(error).__name__}: {error}", file=sys.stderr)
+
+
+class ClientLinks:
+    def __init__(self, core: Core, counters: Counters, most: int) -> None:
+        self.core = core
+        self.deadlines = core.deadlines
+        self.counters = counters
+        self.most = most
+        self.links: Slots[ClientLink] = Slots()
+        self.leaving = False
+        self.latest = 0.0  # when a link was accepted last
+
+    def accepted(self, link: ClientLink) -> None:
+        self.counters.client_links += 1
+        self.latest = self.deadlines.clock.time()
+        if len(self.links) > self.most:
+            for other in self.links:
+                if other.idle and other is not link:
+                    other.close()
+                    return
+            link.close()
+
+    def leave(self) -> None:
+        """The program is about to end: links between two queries are closed, the rest after their answer."""
+        self.leaving = True
+        for link in self.links:
+            if link.idle and link.carried:
+                link.close()
--- /dev/null
+++ b/pearstall/net/core.py
@@ -0,0 +1,376 @@
+"""Queries, executions and their outcomes. Drives the Router and carries out its actions; knows no wire."""
+
+from __future__ import annotations
+
+import sys
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import IntEnum
+from functools import partial
+from typing import Protocol
+
+from pearstall.choice import Router
+from pearstall.interface import (
+    Action,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    FirstToken,
+    ListKind,
+    Log,
+    Outcome,
+    Refuse,
+    ReplicaList,
+    Request,
+    Result,
+    Send,
+    SetTimer,
+    Settings,
+    Subscribe,
+    Timer,
+)
+from pearstall.net.counters import Counters
+from pearstall.net.deadlines import Deadline, Deadlines
+from pearstall.net.slots import Slots
+
+GUARD = 0.015  # past a query's deadline: the final answer is still on time here, should the Router owe one
+
+
+class Reach(IntEnum):
+    """How far an execution had come."""
+
+    NOT_CONNECTED = 0
+    PARTLY_WRITTEN = 1
+    FULLY_WRITTEN = 2
+    ANSWERING = 3
+
+
+@dataclass(slots=True, frozen=True)
+class Served:
+    kept_tokens: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Declined:
+    """An answer that is no stream. `turned_away`: it proves that the query never ran."""
+
+    turned_away: bool
+
+
+@dataclass(slots=True, frozen=True)
+class Broken:
+    reach: Reach
+    why: str
+
+
+End = Served | Declined | Broken
+
+
+def result_of(end: End) -> Result:
+    """The protocol's table of outcomes. Once the last byte was written, a break may come after it has run."""
+    if isinstance(end, Served):
+        return Result.OK
+    if isinstance(end, Declined):
+        return Result.FULL if end.turned_away else Result.ERROR
+    return Result.RESET if end.reach >= Reach.FULLY_WRITTEN else Result.CONNECT_FAILED
+
+
+class Answer(Protocol):
+    """A query's way back to its client."""
+
+    def pass_on(self, events: bytes) -> bool:
+        """Whether any of it is on its way to the client: then the answer is this execution's for good."""
+
+    def finish(self) -> None: ...
+
+    def cut(self) -> None: ...
+
+    def refuse(self, retry_after: int) -> None: ...
+
+    def fail(self, timed_out: bool) -> None: ...
+
+
+class Carrier(Protocol):
+    """What carries an execution: a server link."""
+
+    def give_up(self) -> None: ...
+
+    def pause(self, paused: bool) -> None: ...
+
+
+@dataclass(slots=True)
+class Query:
+    """A client's request, as a front read it."""
+
+    class_index: int
+    deadline: float  # the clock's seconds
+    answer: Answer
+    method: str = "POST"
+    target: str = "/v1/chat/completions"
+    body: bytes = b""
+    txn: str = ""  # the client's own id; none is ever made up
+    prompt_tokens: float = 0.0
+    session: int = 0
+    prefix: int = 0
+    prefix_tokens: float = 0.0
+    tenant: int = 0
+    handle: int = 0
+    executions: list[Execution] = field(default_factory=list)
+    out: int = 0
+    over: bool = False  # finally answered, or its client has gone
+    passed: bool = False
+    guard: Deadline | None = None
+
+
+class Execution:
+    """One attempt of a query."""
+
+    __slots__ = ("query", "number", "replica", "began", "started", "ended", "timeout", "carrier")
+
+    def __init__(self, query: Query, number: int, replica: int, began: float) -> None:
+        self.query = query
+        self.number = number
+        self.replica = replica
+        self.began = began
+        self.started = False  # its first event came
+        self.ended = False
+        self.timeout: Deadline | None = None
+        self.carrier: Carrier | None = None
+
+
+class Servers(Protocol):
+    def start(self, execution: Execution, patience: float) -> Carrier | None:
+        """None: no such server is listed any more."""
+
+
+def _refuse(retry_after: int, answer: Answer) -> None:
+    answer.refuse(retry_after)
+
+
+class Core:
+    def __init__(
+        self, settings: Settings, seed: int, deadlines: Deadlines, counters: Counters, servers: Servers
+    ) -> None:
+        self.settings = settings
+        self.deadlines = deadlines
+        self.clock = deadlines.clock.time
+        self.counters = counters
+        self.servers = servers
+        self.queries: Slots[Query] = Slots()
+        self.router = Router(settings, seed)
+        self.events: deque[Event] = deque()
+        self.driving = False
+        self.watch: Callable[[bool], None] = lambda on: None
+        self.idle: Callable[[], None] = lambda: None
+
+    # -- driving the Router --------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        self._carry_out(self.router.start(self._now()))
+
+    def _now(self) -> int:
+        return int(self.clock() * 1_000_000)
+
+    def tell(self, event: Event) -> None:
+        """Events are told one after the other: an action's own events wait until all its batch is done."""
+        self.events.append(event)
+        if self.driving:
+            return
+        self.driving = True
+        try:
+            while self.events:
+                self._carry_out(self.router.handle(self._now(), self.events.popleft()))
+        finally:
+            self.driving = False
+
+    def _carry_out(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Send):
+                self._send(action)
+            elif isinstance(action, SetTimer):
+                self.deadlines.after(action.delay / 1e6, partial(self.tell, Timer(action.tag)))
+            elif isinstance(action, Cancel):
+                self._cancel(action)
+            elif isinstance(action, Refuse):
+                self._answer(action.request, partial(_refuse, action.retry_after))
+            elif isinstance(action, Fail):
+                self._answer(action.request, lambda answer: answer.fail(False))
+            elif isinstance(action, Subscribe):
+                self.watch(action.on)
+            elif isinstance(action, Log):
+                self.counters.logs += 1
+                print(action.text, file=sys.stderr, flush=True)
+
+    # -- queries -------------------------------------------------------------------------------------------
+
+    def take(self, query: Query) -> int:
+        """One final answer is owed from here on."""
+        query.handle = handle = self.queries.add(query)
+        self.counters.queries += 1
+        query.guard = self.deadlines.at(query.deadline + GUARD, lambda: self._overdue(query))
+        self.tell(
+            Request(
+                handle,
+                query.class_index,
+                int(query.deadline * 1_000_000),
+                query.prompt_tokens,
+                query.session,
+                query.prefix,
+                query.prefix_tokens,
+                query.tenant,
+            )
+        )
+        return handle
+
+    def client_gone(self, handle: int) -> None:
+        query = self.queries.get(handle)
+        if query is not None and not query.over:
+            self.counters.clients_gone += 1
+            self._over(query)
+            self.tell(ClientGone(handle))
+
+    def pause(self, handle: int, paused: bool) -> None:
+        """The client's side is full, or has room again."""
+        query = self.queries.get(handle)
+        if query is not None:
+            for execution in query.executions:
+                if not execution.ended and execution.carrier is not None:
+                    execution.carrier.pause(paused)
+
+    def _overdue(self, query: Query) -> None:
+        """The Router's own time-outs end before the deadline; what was missed is answered all the same."""
+        if not query.over:
+            self.counters.overdue += 1
+            self._answer(query.handle, lambda answer: answer.fail(True))
+            self.tell(ClientGone(query.handle))
+
+    def _answer(self, handle: int, say: Callable[[Answer], None]) -> None:
+        query = self.queries.get(handle)
+        if query is None or query.over:
+            return
+        before = query.answer
+        self._over(query)
+        say(before)
+
+    def _over(self, query: Query) -> None:
+        query.over = True
+        if query.guard is not None:
+            query.guard.cancel()
+            query.guard = None
+        self._forget(query)
+
+    def _forget(self, query: Query) -> None:
+        if query.over and not query.out:
+            self.queries.remove(query.handle)
+            if not len(self.queries):
+                self.idle()
+
+    # -- executions ----------------------------------------------------------------------------------------
+
+    def _send(self, action: Send) -> None:
+        query = self.queries.get(action.request)
+        if query is None:
+            return
+        number, now = len(query.executions), self.clock()
+        execution = Execution(query, number, action.replica, now)
+        query.executions.append(execution)
+        query.out += 1
+        # The rules stand here too, whatever the Router asks for: so many attempts, and never two at once.
+        crowded = query.out > 1 and not self.settings.second_copies
+        left = query.deadline - now
+        if query.over or crowded or number >= self.settings.max_attempts or left <= 0:
+            self._ended(execution, Result.MOOT)
+            return
+        patience = min(action.timeout / 1e6, left) if action.timeout else left
+        self.counters.executions += 1
+        execution.timeout = self.deadlines.at(now + patience, lambda: self._timed_out(execution))
+        execution.carrier = self.servers.start(execution, patience)
+        if execution.carrier is None:
+            self._ended(execution, Result.MOOT)
+
+    def _timed_out(self, execution: Execution) -> None:
+        self._give_up(execution, Result.TIMEOUT)
+
+    def _cancel(self, action: Cancel) -> None:
+        query = self.queries.get(action.request)
+        if query is not None and action.attempt < len(query.executions):
+            execution = query.executions[action.attempt]
+            # A stream begun belongs to its client: only where that has gone is it ended.
+            if not execution.started or query.over:
+                self._give_up(execution, Result.CANCELLED)
+
+    def _give_up(self, execution: Execution, result: Result) -> None:
+        if not execution.ended:
+            # The old link is closed before its end is told: the next execution may go out at once.
+            if execution.carrier is not None:
+                execution.carrier.give_up()
+            self._ended(execution, result)
+
+    def passed(self, execution: Execution, events: bytes) -> None:
+        """Whole events of the answer have come."""
+        query = execution.query
+        if execution.ended:
+            return
+        if not execution.started:
+            execution.started = True
+            if execution.timeout is not None:
+                execution.timeout.cancel()
+            if query.guard is not None:
+                query.guard.cancel()
+                query.guard = None
+            took = int((self.clock() - execution.began) * 1e6)
+            first = FirstToken(query.handle, execution.number, execution.replica, took)
+            if not query.over and query.answer.pass_on(events):
+                query.passed = True
+            self.tell(first)
+        elif not query.over and query.answer.pass_on(events):
+            query.passed = True
+
+    def ended(self, execution: Execution, end: End) -> None:
+        """The server link is done with it."""
+        if execution.ended:
+            return
+        query, result = execution.query, result_of(end)
+        if not query.over:
+            if isinstance(end, Served):
+                self.counters.served += 1
+                answer = query.answer
+                query.over = True
+                answer.finish()
+            elif query.passed:
+                # No second execution: the client has a part of this answer, and asks for the rest itself.
+                self.counters.broken += 1
+                answer = query.answer
+                query.over = True
+                answer.cut()
+        self._ended(execution, result, end.kept_tokens if isinstance(end, Served) else 0)
+
+    def _ended(self, execution: Execution, result: Result, kept: int = 0) -> None:
+        query = execution.query
+        execution.ended = True
+        query.out -= 1
+        if execution.timeout is not None:
+            execution.timeout.cancel()
+        self.counters.outcome(result.name.lower())
+        took = int((self.clock() - execution.began) * 1e6)
+        handle, over = query.handle, query.over
+        if over and query.guard is not None:
+            query.guard.cancel()
+            query.guard = None
+        if execution.started and not over and query.guard is None:
+            # Begun but nothing passed on, then broken: it may go out again while its deadline allows.
+            query.guard = self.deadlines.at(query.deadline + GUARD, lambda: self._overdue(query))
+        outcome = Outcome(handle, execution.number, execution.replica, result, over, took, kept)
+        self.tell(outcome)
+        self._forget(query)
+
+    # -- the host group ------------------------------------------------------------------------------------
+
+    def listed(self, news: ReplicaList) -> None:
+        if news.kind == ListKind.FAILED:
+            self.counters.list_failures += 1
+        else:
+            self.counters.list_changes += 1
+        self.tell(news)
--- /dev/null
+++ b/pearstall/net/counters.py
@@ -0,0 +1,34 @@
+"""What was taken in, sent and answered; printed on a signal and at exit."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import asdict, dataclass, field
+
+
+@dataclass(slots=True)
+class Counters:
+    client_links: int = 0  # accepted
+    queries: int = 0  # taken
+    malformed: int = 0  # client input that was no request
+    executions: int = 0
+    server_links: int = 0  # opened
+    server_links_reused: int = 0
+    outcomes: dict[str, int] = field(default_factory=dict)
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    broken: int = 0  # streams that ended without their end
+    clients_gone: int = 0
+    overdue: int = 0  # answered by the guard at the deadline, not by the Router
+    exceptions: int = 0  # that stopped at a connection
+    list_changes: int = 0
+    list_failures: int = 0
+    list_entries_skipped: int = 0
+    logs: int = 0
+
+    def outcome(self, name: str) -> None:
+        self.outcomes[name] = self.outcomes.get(name, 0) + 1
+
+    def line(self) -> str:
+        return "counters " + json.dumps(asdict(self))
--- /dev/null
+++ b/pearstall/net/host_group.py
@@ -0,0 +1,206 @@
+"""The host group: the list of model servers, from discovery's watch or an inventory, told to the Router."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from pearstall.interface import ListKind, Replica, ReplicaList, State
+from pearstall.net.buffer import Buffer
+from pearstall.net.config import Names
+from pearstall.net.core import Core
+from pearstall.net.deadlines import Deadline
+from pearstall.net.http1 import Body, Malformed, body_of, read_head
+from pearstall.net.inventory import BadList, Host, HostList, read_host_list, read_inventory, split_address
+from pearstall.net.platform import number_of
+
+SILENCE = 3.0  # a watch sends a line every 2 s; without one for so long it is dead
+LARGEST_LINE = 8 << 20
+STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
+
+
+class HostGroup:
+    def __init__(self, core: Core, names: Names, discovery: tuple[str, int] | None) -> None:
+        self.core = core
+        self.discovery = discovery
+        self.zones = {name: number for number, name in enumerate(names.dcs)}
+        self.kinds = {name: number for number, name in enumerate(names.models)}
+        self.addresses: dict[int, tuple[str, int]] = {}
+        self.index = -1
+        # One offset for the whole run: a start told twice must come out as the same time both times.
+        self.offset = core.clock() - time.time()
+        self.watch: WatchLink | None = None
+        self.told: Callable[[], None] = lambda: None
+
+    def address_of(self, replica: int) -> tuple[str, int] | None:
+        return self.addresses.get(replica)
+
+    def take(self, news: HostList, kind: int) -> None:
+        self.core.counters.list_entries_skipped += news.skipped
+        if news.index >= 0:
+            self.index = news.index
+        if kind != ListKind.DELTA:
+            # What was listed stays reachable: a query sent a moment ago may still name it.
+            self.addresses = {}
+        replicas = [self._replica(host) for host in news.hosts]
+        if not (kind == ListKind.DELTA and not replicas):
+            self.core.listed(ReplicaList(kind, replicas))
+        else:
+            self.core.tell(ReplicaList(kind, replicas))
+        self.told()
+
+    def _replica(self, host: Host) -> Replica:
+        id = number_of(host.name)
+        where = split_address(host.address)
+        if host.status == "gone" or where is None:
+            self.addresses.pop(id, None)
+        else:
+            self.addresses[id] = where
+        started = 0
+        if host.since_ms:
+            started = max(1, int((host.since_ms / 1000 + self.offset) * 1e6))
+        return Replica(
+            id,
+            self.zones.get(host.zone, len(self.zones)),
+            host.group,
+            STATES[host.status],
+            host.weight,
+            started,
+            self.kinds.get(host.type, number_of(host.type)),
+        )
+
+    # -- discovery -----------------------------------------------------------------------------------------
+
+    def subscribe(self, on: bool) -> None:
+        """The Router asks for the watch. It times its own tries, so that none come too often."""
+        if self.watch is not None:
+            old, self.watch = self.watch, None
+            old.close()
+        if on and self.discovery is not None:
+            self.watch = WatchLink(self, self.discovery)
+            self.watch.start()
+
+    def failed(self, watch: WatchLink) -> None:
+        if watch is self.watch:
+            self.watch = None
+            self.core.listed(ReplicaList(ListKind.FAILED))
+
+    # -- an inventory in its place -------------------------------------------------------------------------
+
+    def load(self, path: Path) -> None:
+        found = read_inventory(path)
+        if isinstance(found, BadList):
+            self.core.counters.list_failures += 1
+            print(f"inventory: {found.why}; the list held stays", file=sys.stderr, flush=True)
+        else:
+            self.take(found, ListKind.FULL)
+
+
+class WatchLink(asyncio.BufferedProtocol):
+    """One watch, from its request until its connection ends."""
+
+    def __init__(self, group: HostGroup, address: tuple[str, int]) -> None:
+        self.group = group
+        self.address = address
+        self.buffer = Buffer()
+        self.lines = Buffer()
+        self.body: Body | None = None
+        self.transport: asyncio.Transport | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self.deadline: Deadline | None = None
+        self.closed = False
+
+    def start(self) -> None:
+        self._heard()
+        self.connecting = asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: self, *self.address)
+        except OSError:
+            self.fail()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        if self.closed:
+            transport.abort()
+            return
+        after = f"&index={self.group.index}" if self.group.index >= 0 else ""
+        host, port = self.address
+        transport.write(
+            f"GET /catalog/members?stream=1{after} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode()
+        )
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.wrote(nbytes)
+        if self.closed:
+            return
+        try:
+            if not self._read():
+                self.fail()
+        except Exception as error:  # stops here: the list held stays
+            self.group.core.counters.exceptions += 1
+            print(f"watch: {type(error).__name__}: {error}", file=sys.stderr)
+            self.fail()
+
+    def _read(self) -> bool:
+        """False: what came is no watch, or it has ended."""
+        while self.body is None:
+            head = read_head(self.buffer, response=True)
+            if head is None:
+                return True
+            if isinstance(head, Malformed) or head.status >= 300:
+                return False
+            if head.status == 200:
+                body = body_of(head)
+                if isinstance(body, Malformed):
+                    return False
+                self.body = body
+        data = self.body.feed(self.buffer)
+        if isinstance(data, Malformed):
+            return False
+        self.lines.add(data)
+        while (end := self.lines.find(b"\n")) >= 0:
+            line = self.lines.take(end + 1).strip()
+            self._heard()
+            if not line:
+                continue
+            news = read_host_list(line)
+            if isinstance(news, BadList):
+                return False  # what it said is lost: the next watch asks for it from the index held
+            self.group.take(news, ListKind.FULL if news.snapshot else ListKind.DELTA)
+            if self.closed:
+                return True
+        return len(self.lines) <= LARGEST_LINE and not self.body.done
+
+    def _heard(self) -> None:
+        if self.deadline is not None:
+            self.deadline.cancel()
+        self.deadline = self.group.core.deadlines.after(SILENCE, self.fail)
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        self.fail()
+
+    def fail(self) -> None:
+        if not self.closed:
+            self.close()
+            self.group.failed(self)
+
+    def close(self) -> None:
+        self.closed = True
+        if self.deadline is not None:
+            self.deadline.cancel()
+        if self.transport is not None:
+            self.transport.abort()
+        elif self.connecting is not None:
+            self.connecting.cancel()
--- /dev/null
+++ b/pearstall/net/platform.py
@@ -0,0 +1,113 @@
+"""The platform's wire: its front for clients, and its form of model server."""
+
+from __future__ import annotations
+
+import re
+from functools import lru_cache
+from hashlib import blake2b
+
+from pearstall.net.config import Names
+from pearstall.net.core import Answer, Query
+from pearstall.net.http1 import Head, Malformed, Reply
+
+PATH = "/v1/chat/completions"
+HEALTH = "/_health"
+LONGEST_WAIT = 3600.0
+CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,12})')
+DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
+
+
+@lru_cache(maxsize=8192)
+def number_of(name: str) -> int:
+    """The same number for a name at every router and after every start; 0 for none."""
+    if not name:
+        return 0
+    return int.from_bytes(blake2b(name.encode("latin-1", "replace"), digest_size=8).digest(), "little") or 1
+
+
+def decimal(text: str) -> float | None:
+    return float(text) if DECIMAL.fullmatch(text.strip()) else None
+
+
+class PlatformFront:
+    def __init__(self, names: Names) -> None:
+        self.lanes = {lane.name: number for number, lane in enumerate(names.lanes)}
+        self.tenants = {account.name: number for number, account in enumerate(names.accounts)}
+        self.ready = False
+
+    def check(self, head: Head) -> Reply | None:
+        if head.path == HEALTH:
+            if head.method not in ("GET", "HEAD"):
+                return Reply(405, b"only GET\n", {"Allow": "GET"}, "text/plain")
+            return Reply(200 if self.ready else 503)
+        if head.path != PATH:
+            return Reply(404, b"no such path\n", {}, "text/plain")
+        if head.method != "POST":
+            return Reply(405, b"only POST\n", {"Allow": "POST"}, "text/plain")
+        return None
+
+    def read(self, head: Head, body: bytes, came: float, answer: Answer) -> Query | Reply:
+        headers = head.headers
+        txn, lane = headers.get("x-txn", ""), self.lanes.get(headers.get("x-lane", ""))
+        wait = decimal(headers.get("x-remaining", ""))
+        if not txn:
+            return self.malformed(Malformed("X-Txn is missing"))
+        if lane is None:
+            return self.malformed(Malformed("X-Lane names no class"))
+        if wait is None:
+            return self.malformed(Malformed("X-Remaining is no number of seconds"))
+        labels = {}
+        for label in headers.get("x-labels", "").split(","):
+            key, _, value = label.partition("=")
+            labels[key.strip()] = value.strip()
+        prompt = decimal(labels.get("prompt_len", ""))
+        return Query(
+            class_index=lane,
+            deadline=came + min(wait, LONGEST_WAIT),
+            answer=answer,
+            method=head.method,
+            target=head.target,
+            body=body,
+            txn=txn,
+            prompt_tokens=len(body) / 4 if prompt is None else prompt,
+            session=number_of(headers.get("x-entity", "")),
+            prefix=number_of(labels.get("prefix", "")),
+            prefix_tokens=decimal(labels.get("prefix_len", "")) or 0.0,
+            tenant=self.tenants.get(headers.get("x-org", ""), len(self.tenants)),
+        )
+
+    def malformed(self, why: Malformed) -> Reply:
+        return Reply(why.status, why.why.encode() + b"\n", {}, "text/plain")
+
+    def refused(self, retry_after: int) -> Reply:
+        return Reply(503, b"", {"Retry-After": f"{retry_after / 1e6:.3f}"} if retry_after else {})
+
+    def failed(self, timed_out: bool) -> Reply:
+        return Reply(504 if timed_out else 502)
+
+    def streams(self, head: Head, body: bytes) -> bool:
+        return True
+
+    def whole(self, head: Head, events: bytes) -> Reply:
+        return Reply(200, events, {}, "text/event-stream")
+
+
+class PlatformServer:
+    """How the platform's model servers are spoken to."""
+
+    def request(self, query: Query, address: tuple[str, int], patience: float) -> bytes:
+        head = (
+            f"{query.method} {query.target} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
+            f"X-Txn: {query.txn}\r\nX-Remaining: {max(0.001, patience):.3f}\r\n"
+            f"Content-Type: application/json\r\nContent-Length: {len(query.body)}\r\n\r\n"
+        )
+        return head.encode("latin-1") + query.body
+
+    def turned_away(self, head: Head) -> bool:
+        return head.status in (503, 504) and head.headers.get("x-turned-away", "").strip() == "1"
+
+    def kept_tokens(self, events: bytes) -> int | None:
+        if b'"usage"' not in events:
+            return None
+        found = CACHED.findall(events)
+        return int(found[-1]) if found else None
--- /dev/null
+++ b/pearstall/net/serve.py
@@ -0,0 +1,125 @@
+"""Puts the parts together and runs them until the program is asked to end."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+from functools import partial
+
+from pearstall.interface import ListKind
+from pearstall.net.client_link import ClientLink, ClientLinks, Front
+from pearstall.net.config import Config, ConfigError
+from pearstall.net.core import Core
+from pearstall.net.counters import Counters
+from pearstall.net.deadlines import Deadlines
+from pearstall.net.host_group import HostGroup
+from pearstall.net.platform import PlatformFront, PlatformServer
+from pearstall.net.server_link import ServerForm, ServerLinks
+
+IDLE_PART = 0.7  # of the time after which a model server closes an idle link
+SPARE_SOCKETS = 48  # listeners, the watch, files
+CLIENT_PART = 0.5  # of the other sockets
+STAY = 1.0  # after SIGTERM new clients may still come for less than this
+QUIET = 0.5  # and the last one's query for less than this
+
+
+class Program:
+    """One router. Made inside a running loop."""
+
+    def __init__(self, config: Config, fronts: dict[tuple[str, int], Front], form: ServerForm) -> None:
+        self.config = config
+        self.loop = asyncio.get_running_loop()
+        self.deadlines = Deadlines(self.loop)
+        self.counters = Counters()
+        sockets = config.limits.sockets - SPARE_SOCKETS if config.limits.sockets > 96 else 48
+        clients = int(sockets * CLIENT_PART)
+        limits = config.names.limits
+        self.servers = ServerLinks(
+            form,
+            self.deadlines,
+            self.counters,
+            limits.connect_timeout / 1e6,
+            IDLE_PART * limits.conn_idle / 1e6,
+            sockets - clients,
+            lambda replica: self.group.address_of(replica),
+        )
+        self.core = Core(config.settings, config.seed, self.deadlines, self.counters, self.servers)
+        self.servers.core = self.core
+        self.group = HostGroup(self.core, config.names, config.discovery)
+        self.core.watch = self.group.subscribe
+        self.clients = ClientLinks(self.core, self.counters, clients)
+        self.fronts = fronts
+        self.listeners: list[asyncio.Server] = []
+        self.ended = asyncio.Event()
+        self.leaving_from = 0.0
+
+    async def start(self) -> None:
+        self.group.told = self._listed
+        self.core.start()
+        if self.config.known.hosts:
+            self.group.take(self.config.known, ListKind.CACHED)
+        if self.config.inventory is not None:
+            self.group.load(self.config.inventory)
+        for (host, port), front in self.fronts.items():
+            make = partial(ClientLink, self.clients, front)
+            self.listeners.append(await self.loop.create_server(make, host, port, backlog=1024))
+
+    def _listed(self) -> None:
+        for front in self.fronts.values():
+            if isinstance(front, PlatformFront) and self.group.addresses:
+                front.ready = True
+
+    def leave(self) -> None:
+        """Asked to end: what was taken is answered first, and what still comes meanwhile."""
+        if not self.leaving_from:
+            self.leaving_from = self.loop.time()
+            self.clients.leave()
+            self._look()
+
+    def _look(self) -> None:
+        now = self.loop.time()
+        stayed = now - self.leaving_from >= STAY and now - self.clients.latest >= QUIET
+        reading = any(not link.idle and not link.closing for link in self.clients.links)
+        if stayed and not len(self.core.queries) and not reading:
+            self.ended.set()
+        else:
+            self.deadlines.after(0.05, self._look)
+
+    async def close(self) -> None:
+        for listener in self.listeners:
+            listener.close()
+        for link in self.clients.links:
+            link.close()
+        await asyncio.sleep(0.02)  # what was written last is on its way
+        self.group.subscribe(False)
+        self.servers.close()
+
+    def print_counters(self) -> None:
+        print(self.counters.line(), file=sys.stderr, flush=True)
+
+    def reload(self) -> None:
+        if self.config.inventory is not None:
+            self.group.load(self.config.inventory)
+
+
+async def run(config: Config) -> None:
+    fronts: dict[tuple[str, int], Front] = {}
+    form: ServerForm = PlatformServer()
+    if config.listen is not None:
+        fronts[config.listen] = PlatformFront(config.names)
+    program = Program(config, fronts, form)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, program.leave)
+    loop.add_signal_handler(signal.SIGINT, program.leave)
+    loop.add_signal_handler(signal.SIGUSR1, program.print_counters)
+    loop.add_signal_handler(signal.SIGHUP, program.reload)
+    try:
+        await program.start()
+    except OSError as error:
+        raise ConfigError(f"listen: {error.strerror or error}") from None
+    try:
+        await program.ended.wait()
+    finally:
+        await program.close()
+        program.print_counters()
--- /dev/null
+++ b/pearstall/net/server_link.py
@@ -0,0 +1,295 @@
+"""Links to model servers: kept for reuse by address, one execution at a time."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Protocol
+
+from pearstall.net.buffer import Buffer
+from pearstall.net.core import Broken, Carrier, Core, Declined, End, Execution, Query, Reach, Served
+from pearstall.net.counters import Counters
+from pearstall.net.deadlines import Deadline, Deadlines
+from pearstall.net.events import EventSplitter
+from pearstall.net.http1 import Body, Head, Malformed, body_of, read_head
+from pearstall.net.slots import Slots
+
+Address = tuple[str, int]
+
+
+class ServerForm(Protocol):
+    """How a kind of model server is spoken to."""
+
+    def request(self, query: Query, address: Address, patience: float) -> bytes: ...
+
+    def turned_away(self, head: Head) -> bool: ...
+
+    def kept_tokens(self, events: bytes) -> int | None: ...
+
+
+class ServerLink(asyncio.BufferedProtocol):
+    def __init__(self, owner: ServerLinks, address: Address) -> None:
+        self.owner = owner
+        self.address = address
+        self.handle = owner.links.add(self)
+        self.buffer = Buffer()
+        self.transport: asyncio.Transport | None = None
+        self.connecting: asyncio.Task[None] | None = None
+        self.execution: Execution | None = None
+        self.request = b""
+        self.written = False
+        self.closed = False
+        self.head: Head | None = None
+        self.body: Body | None = None
+        self.splitter = EventSplitter()
+        self.kept = 0
+        self.deadline: Deadline | None = None  # of the connect, then of being idle
+        self.eof = False
+
+    # -- one execution -------------------------------------------------------------------------------------
+
+    def begin(self, execution: Execution, request: bytes) -> None:
+        self._stop_clock()
+        self.execution = execution
+        self.request = request
+        self.head = self.body = None
+        self.splitter = EventSplitter()
+        self.kept = 0
+        self.written = False
+        if self.transport is not None:
+            self._write()
+
+    def connect(self, limit: float) -> None:
+        self.deadline = self.owner.deadlines.after(limit, lambda: self.fail("connect took too long"))
+        self.connecting = asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        try:
+            await asyncio.get_running_loop().create_connection(lambda: self, *self.address)
+        except OSError as error:
+            self.fail(f"connect: {error.strerror or error}")
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        # No room above the socket's own: what is paused is partly written, what resumes is written whole.
+        transport.set_write_buffer_limits(0)
+        if self.closed or self.execution is None:
+            self.close()
+            return
+        self._stop_clock()
+        self._write()
+
+    def _write(self) -> None:
+        assert self.transport is not None
+        self.written = True
+        request, self.request = self.request, b""
+        self.transport.write(request)
+
+    def pause_writing(self) -> None:
+        self.written = False
+
+    def resume_writing(self) -> None:
+        self.written = True
+
+    @property
+    def reach(self) -> Reach:
+        if self.head is not None:
+            return Reach.ANSWERING
+        if self.written:
+            return Reach.FULLY_WRITTEN
+        return Reach.PARTLY_WRITTEN if self.transport is not None else Reach.NOT_CONNECTED
+
+    # -- what comes back -----------------------------------------------------------------------------------
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.buffer.room()
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.buffer.wrote(nbytes)
+        try:
+            self._read()
+        except Exception as error:  # stops here: no other link is harmed
+            self.owner.counters.exceptions += 1
+            self.fail(f"{type(error).__name__}: {error}")
+
+    def _read(self) -> None:
+        if self.execution is None:
+            if len(self.buffer):
+                self.close()  # a server that speaks unasked: what it would say next answers nothing of ours
+            return
+        while self.head is None:
+            head = read_head(self.buffer, response=True)
+            if head is None:
+                return
+            if isinstance(head, Malformed):
+                self.fail(head.why)
+                return
+            if head.status >= 200:
+                self.head = head
+        head = self.head
+        if self.body is None:
+            body = body_of(head)
+            if isinstance(body, Malformed):
+                self.fail(body.why)
+                return
+            self.body = body
+        data = self.body.feed(self.buffer)
+        if isinstance(data, Malformed):
+            self.fail(data.why)
+            return
+        if head.status != 200:
+            self._done(Declined(self.owner.form.turned_away(head)))
+            return
+        if data:
+            events = self.splitter.feed(data)
+            if isinstance(events, Malformed):
+                self.fail(events.why)
+                return
+            self._pass_on(events)
+        if self.body.done:
+            self._stream_end()
+
+    def _pass_on(self, events: bytes) -> None:
+        if events and self.execution is not None:
+            kept = self.owner.form.kept_tokens(events)
+            self.kept = self.kept if kept is None else kept
+            self.owner.core.passed(self.execution, events)
+
+    def _stream_end(self) -> None:
+        if self.splitter.rest:
+            self._pass_on(self.splitter.rest)
+        self._done(Served(self.kept))
+
+    def eof_received(self) -> bool:
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        if not self.closed and error is None and self.body is not None and self.body.until_close:
+            self.head = self.head or Head()
+            self.closed = True
+            self._stream_end()
+            self._drop()
+            return
+        self.fail(f"the link ended{f': {error}' if error else ''}")
+
+    # -- its end -------------------------------------------------------------------------------------------
+
+    def _done(self, end: End) -> None:
+        """An answer is whole as far as the execution goes. The link is free before its end is told."""
+        execution, self.execution = self.execution, None
+        clean = self.body is not None and self.body.done and self.written and not len(self.buffer)
+        if clean and self.head is not None and self.head.keeps and not self.closed:
+            self.pause(False)
+            self.owner.free(self)
+        else:
+            self.close()
+        if execution is not None:
+            self.owner.core.ended(execution, end)
+
+    def fail(self, why: str) -> None:
+        reach = self.reach
+        execution, self.execution = self.execution, None
+        self.close()
+        if execution is not None:
+            self.owner.core.ended(execution, Broken(reach, why))
+
+    def give_up(self) -> None:
+        """At once, so that the next execution finds no earlier one on an open connection."""
+        self.execution = None
+        if self.transport is not None:
+            end: socket.socket | None = self.transport.get_extra_info("socket")
+            try:
+                if end is not None:
+                    end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # the other side was quicker
+        self.close()
+
+    def close(self) -> None:
+        self.closed = True
+        self._stop_clock()
+        if self.transport is not None:
+            self.transport.abort()
+        elif self.connecting is not None:
+            self.connecting.cancel()
+        self._drop()
+
+    def _drop(self) -> None:
+        self.owner.drop(self)
+
+    def _stop_clock(self) -> None:
+        if self.deadline is not None:
+            self.deadline.cancel()
+            self.deadline = None
+
+    def pause(self, paused: bool) -> None:
+        if self.transport is not None and not self.closed and not self.transport.is_closing():
+            if paused:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
+
+
+class ServerLinks:
+    def __init__(
+        self,
+        form: ServerForm,
+        deadlines: Deadlines,
+        counters: Counters,
+        connect_limit: float,
+        idle_limit: float,
+        most: int,
+        where: Callable[[int], Address | None],
+    ) -> None:
+        self.form = form
+        self.deadlines = deadlines
+        self.counters = counters
+        self.connect_limit = connect_limit
+        self.idle_limit = idle_limit
+        self.most = most
+        self.where = where
+        self.core: Core  # set by the one that puts the parts together
+        self.links: Slots[ServerLink] = Slots()
+        self.idle: dict[Address, list[ServerLink]] = {}
+
+    def start(self, execution: Execution, patience: float) -> Carrier | None:
+        address = self.where(execution.replica)
+        if address is None:
+            return None
+        request = self.form.request(execution.query, address, patience)
+        waiting = self.idle.get(address)
+        while waiting:
+            link = waiting.pop()  # the latest used: the others get to close
+            if not link.closed and link.transport is not None and not link.transport.is_closing():
+                self.counters.server_links_reused += 1
+                link.begin(execution, request)
+                return link
+        if len(self.links) >= self.most:
+            self._make_room()
+        link = ServerLink(self, address)
+        self.counters.server_links += 1
+        link.begin(execution, request)
+        link.connect(self.connect_limit)
+        return link
+
+    def _make_room(self) -> None:
+        for links in self.idle.values():
+            if links:
+                links[0].close()
+                return
+
+    def free(self, link: ServerLink) -> None:
+        self.idle.setdefault(link.address, []).append(link)
+        link.deadline = self.deadlines.after(self.idle_limit, link.close)
+
+    def drop(self, link: ServerLink) -> None:
+        self.links.remove(link.handle)
+        waiting = self.idle.get(link.address)
+        if waiting and link in waiting:
+            waiting.remove(link)
+
+    def close(self) -> None:
+        for link in self.links:
+            link.close()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -10,8 +10,9 @@
 
 import pytest
 
-from pearstall.adapter import Link, settings_from_wire
+from pearstall.adapter import Link
 from pearstall.interface import Effect, Scope
+from pearstall.settings import settings_from_wire
 
 ROOT = Path(__file__).parent.parent
 SEED, ONE, ID = 5, 1_000_000, 77
