Add the OpenAI-style front, and one suite for both fronts and both forms of model server

Model servers of either form, by host type. The suite counts the same final answers on loopback for all four pairs: served, refused, cut and asked again, timed out, client gone, asked to end.

--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -37,11 +37,9 @@
 
     def failed(self, timed_out: bool) -> Reply: ...
 
-    def whole(self, head: Head, events: bytes) -> Reply:
+    def whole(self, query: Query, events: bytes) -> Reply:
         """The answer where the client wanted no stream."""
 
-    def streams(self, head: Head, body: bytes) -> bool: ...
-
 
 class ClientLink(asyncio.BufferedProtocol):
     def __init__(self, owner: ClientLinks, front: Front) -> None:
@@ -57,7 +55,6 @@
         self.came = 0.0
         self.query: Query | None = None  # the one under way
         self.busy = False
-        self.streams = True
         self.begun = False
         self.gathered: list[bytes] = []
         self.gathered_size = 0
@@ -172,7 +169,6 @@
             self.owner.counters.malformed += 1
             self._reply(query)
             return
-        self.streams = self.front.streams(head, body)
         self.begun = False
         self.gathered, self.gathered_size = [], 0
         self.busy = True
@@ -187,10 +183,13 @@
 
     # -- the final answer ----------------------------------------------------------------------------------
 
+    def again(self) -> None:
+        self.gathered, self.gathered_size = [], 0
+
     def pass_on(self, events: bytes) -> bool:
         if self.closing:
             return False
-        if not self.streams:
+        if self.query is None or not self.query.streams:
             self.gathered.append(events)
             self.gathered_size += len(events)
             if self.gathered_size > MOST_GATHERED:
@@ -208,9 +207,8 @@
         return True
 
     def finish(self) -> None:
-        if not self.streams:
-            assert self.head is not None
-            self._reply(self.front.whole(self.head, b"".join(self.gathered)))
+        if self.query is not None and not self.query.streams:
+            self._reply(self.front.whole(self.query, b"".join(self.gathered)))
         elif not self.begun:
             self._reply(self.front.failed(False))  # a stream without a single event
         else:
@@ -238,6 +236,8 @@
 
     def _reply(self, reply: Reply, last: bool = False) -> None:
         self.keeps = self.keeps and not last
+        if self.head is not None and self.head.method == "HEAD":
+            reply = Reply(reply.status, b"", reply.headers)  # bytes after its head would be the next answer's
         self._write(reply.encode(self._last()))
         self._next()
 
--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -51,13 +51,16 @@
     """The second front, from a file of the operators' own. `server_form`: openai or platform."""
 
     listen: str
-    deadline_s: Positive = 60.0
+    enabled: bool = True
     default_class: str = ""
     default_tenant: str = ""
+    session_from_user: bool = True  # where no header names the session, the body's `user` does
+    models: list[str] = []  # what /v1/models lists; empty: the models that `classes` names
     classes: dict[str, str] = {}  # model -> class
-    models: list[str] = []  # what /v1/models lists
+    deadline_s: dict[str, Positive] = {}  # class -> wait for the first token; else the class's give-up time
     tenants: dict[str, str] = {}  # API key -> tenant
     server_form: str = "platform"
+    server_forms: dict[str, str] = {}  # host type -> form, where it is another
 
 
 class Raw(msgspec.Struct):
@@ -109,6 +112,7 @@
         raise ConfigError(f"seed: a number is wanted, not {raw.seed!r}") from None
     known = read_host_list(bytes(raw.known)) if bytes(raw.known) != b"null" else HostList()
     second = read_openai(openai, names) if openai else None
+    second = second if second and second.enabled else None
     if not listen and second is None:
         raise ConfigError("listen: missing")
     if not discovery and not inventory:
@@ -135,11 +139,12 @@
     except (ValueError, msgspec.ValidationError) as error:
         raise ConfigError(f"{path}: {_one_line(error)}") from None
     lanes = {lane.name for lane in names.lanes}
-    for name in [*config.classes.values(), *([config.default_class] if config.default_class else [])]:
-        if name not in lanes:
+    for name in [*config.classes.values(), *config.deadline_s, config.default_class]:
+        if name and name not in lanes:
             raise ConfigError(f"{path}: no class is named {name!r}")
-    if config.server_form not in ("openai", "platform"):
-        raise ConfigError(f"{path}: server_form is openai or platform, not {config.server_form!r}")
+    for form in (config.server_form, *config.server_forms.values()):
+        if form not in ("openai", "platform"):
+            raise ConfigError(f"{path}: a server's form is openai or platform, not {form!r}")
     return config
 
 
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -83,6 +83,9 @@
     def pass_on(self, events: bytes) -> bool:
         """Whether any of it is on its way to the client: then the answer is this execution's for good."""
 
+    def again(self) -> None:
+        """Another execution begins: what was kept back of the last one is void."""
+
     def finish(self) -> None: ...
 
     def cut(self) -> None: ...
@@ -116,6 +119,7 @@
     prefix: int = 0
     prefix_tokens: float = 0.0
     tenant: int = 0
+    streams: bool = True  # else the client gets the answer whole, at its end
     handle: int = 0
     executions: list[Execution] = field(default_factory=list)
     out: int = 0
@@ -285,6 +289,7 @@
             return
         patience = min(action.timeout / 1e6, left) if action.timeout else left
         self.counters.executions += 1
+        query.answer.again()
         execution.timeout = self.deadlines.at(now + patience, lambda: self._timed_out(execution))
         execution.carrier = self.servers.start(execution, patience)
         if execution.carrier is None:
--- a/pearstall/net/host_group.py
+++ b/pearstall/net/host_group.py
@@ -29,22 +29,19 @@
         self.zones = {name: number for number, name in enumerate(names.dcs)}
         self.kinds = {name: number for number, name in enumerate(names.models)}
         self.addresses: dict[int, tuple[str, int]] = {}
+        self.types: dict[int, str] = {}
         self.index = -1
         # One offset for the whole run: a start told twice must come out as the same time both times.
         self.offset = core.clock() - time.time()
         self.watch: WatchLink | None = None
         self.told: Callable[[], None] = lambda: None
 
-    def address_of(self, replica: int) -> tuple[str, int] | None:
-        return self.addresses.get(replica)
-
     def take(self, news: HostList, kind: int) -> None:
         self.core.counters.list_entries_skipped += news.skipped
         if news.index >= 0:
             self.index = news.index
         if kind != ListKind.DELTA:
-            # What was listed stays reachable: a query sent a moment ago may still name it.
-            self.addresses = {}
+            self.addresses, self.types = {}, {}
         replicas = [self._replica(host) for host in news.hosts]
         if not (kind == ListKind.DELTA and not replicas):
             self.core.listed(ReplicaList(kind, replicas))
@@ -57,8 +54,10 @@
         where = split_address(host.address)
         if host.status == "gone" or where is None:
             self.addresses.pop(id, None)
+            self.types.pop(id, None)
         else:
             self.addresses[id] = where
+            self.types[id] = host.type
         started = 0
         if host.since_ms:
             started = max(1, int((host.since_ms / 1000 + self.offset) * 1e6))
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -17,18 +17,37 @@
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 
 
-@lru_cache(maxsize=8192)
 def number_of(name: str) -> int:
     """The same number for a name at every router and after every start; 0 for none."""
     if not name:
         return 0
+    # Only short names are remembered: clients choose them, and memory is bounded.
+    return _short(name) if len(name) <= 64 else _digest(name)
+
+
+def _digest(name: str) -> int:
     return int.from_bytes(blake2b(name.encode("latin-1", "replace"), digest_size=8).digest(), "little") or 1
 
 
+_short = lru_cache(maxsize=8192)(_digest)
+
+
 def decimal(text: str) -> float | None:
     return float(text) if DECIMAL.fullmatch(text.strip()) else None
 
 
+class Labels:
+    """The pairs of an X-Labels header."""
+
+    def __init__(self, header: str) -> None:
+        pairs = [label.partition("=") for label in header.split(",")]
+        self.text = {key.strip(): value.strip() for key, _, value in pairs}
+
+    def number(self, key: str, otherwise: float) -> float:
+        value = decimal(self.text.get(key, ""))
+        return otherwise if value is None else value
+
+
 class PlatformFront:
     def __init__(self, names: Names) -> None:
         self.lanes = {lane.name: number for number, lane in enumerate(names.lanes)}
@@ -56,11 +75,7 @@
             return self.malformed(Malformed("X-Lane names no class"))
         if wait is None:
             return self.malformed(Malformed("X-Remaining is no number of seconds"))
-        labels = {}
-        for label in headers.get("x-labels", "").split(","):
-            key, _, value = label.partition("=")
-            labels[key.strip()] = value.strip()
-        prompt = decimal(labels.get("prompt_len", ""))
+        labels = Labels(headers.get("x-labels", ""))
         return Query(
             class_index=lane,
             deadline=came + min(wait, LONGEST_WAIT),
@@ -69,10 +84,10 @@
             target=head.target,
             body=body,
             txn=txn,
-            prompt_tokens=len(body) / 4 if prompt is None else prompt,
+            prompt_tokens=labels.number("prompt_len", len(body) / 4),
             session=number_of(headers.get("x-entity", "")),
-            prefix=number_of(labels.get("prefix", "")),
-            prefix_tokens=decimal(labels.get("prefix_len", "")) or 0.0,
+            prefix=number_of(labels.text.get("prefix", "")),
+            prefix_tokens=labels.number("prefix_len", 0.0),
             tenant=self.tenants.get(headers.get("x-org", ""), len(self.tenants)),
         )
 
@@ -85,10 +100,7 @@
     def failed(self, timed_out: bool) -> Reply:
         return Reply(504 if timed_out else 502)
 
-    def streams(self, head: Head, body: bytes) -> bool:
-        return True
-
-    def whole(self, head: Head, events: bytes) -> Reply:
+    def whole(self, query: Query, events: bytes) -> Reply:
         return Reply(200, events, {}, "text/event-stream")
 
 
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -8,12 +8,13 @@
 from functools import partial
 
 from pearstall.interface import ListKind
-from pearstall.net.client_link import ClientLink, ClientLinks, Front
+from pearstall.net.client_link import ClientLink, ClientLinks
 from pearstall.net.config import Config, ConfigError
 from pearstall.net.core import Core
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadlines
 from pearstall.net.host_group import HostGroup
+from pearstall.net.openai import OpenAIFront, OpenAIServer
 from pearstall.net.platform import PlatformFront, PlatformServer
 from pearstall.net.server_link import ServerForm, ServerLinks
 
@@ -27,7 +28,7 @@
 class Program:
     """One router. Made inside a running loop."""
 
-    def __init__(self, config: Config, fronts: dict[tuple[str, int], Front], form: ServerForm) -> None:
+    def __init__(self, config: Config) -> None:
         self.config = config
         self.loop = asyncio.get_running_loop()
         self.deadlines = Deadlines(self.loop)
@@ -36,20 +37,29 @@
         clients = int(sockets * CLIENT_PART)
         limits = config.names.limits
         self.servers = ServerLinks(
-            form,
             self.deadlines,
             self.counters,
             limits.connect_timeout / 1e6,
             IDLE_PART * limits.conn_idle / 1e6,
             sockets - clients,
-            lambda replica: self.group.address_of(replica),
+            self._where,
         )
         self.core = Core(config.settings, config.seed, self.deadlines, self.counters, self.servers)
         self.servers.core = self.core
         self.group = HostGroup(self.core, config.names, config.discovery)
         self.core.watch = self.group.subscribe
         self.clients = ClientLinks(self.core, self.counters, clients)
-        self.fronts = fronts
+        self.fronts: dict[tuple[str, int], PlatformFront | OpenAIFront] = {}
+        if config.listen is not None:
+            self.fronts[config.listen] = PlatformFront(config.names)
+        if config.openai is not None and config.openai_listen is not None:
+            self.fronts[config.openai_listen] = OpenAIFront(config.openai, config.names, config.settings)
+        self.form: ServerForm = PlatformServer()
+        self.forms: dict[str, ServerForm] = {}
+        if config.openai is not None:
+            known: dict[str, ServerForm] = {"platform": self.form, "openai": OpenAIServer()}
+            self.form = known[config.openai.server_form]
+            self.forms = {kind: known[form] for kind, form in config.openai.server_forms.items()}
         self.listeners: list[asyncio.Server] = []
         self.ended = asyncio.Event()
         self.leaving_from = 0.0
@@ -65,9 +75,15 @@
             make = partial(ClientLink, self.clients, front)
             self.listeners.append(await self.loop.create_server(make, host, port, backlog=1024))
 
+    def _where(self, replica: int) -> tuple[tuple[str, int], ServerForm] | None:
+        address = self.group.addresses.get(replica)
+        if address is None:
+            return None
+        return address, self.forms.get(self.group.types.get(replica, ""), self.form)
+
     def _listed(self) -> None:
-        for front in self.fronts.values():
-            if isinstance(front, PlatformFront) and self.group.addresses:
+        if self.group.addresses:
+            for front in self.fronts.values():
                 front.ready = True
 
     def leave(self) -> None:
@@ -104,11 +120,7 @@
 
 
 async def run(config: Config) -> None:
-    fronts: dict[tuple[str, int], Front] = {}
-    form: ServerForm = PlatformServer()
-    if config.listen is not None:
-        fronts[config.listen] = PlatformFront(config.names)
-    program = Program(config, fronts, form)
+    program = Program(config)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, program.leave)
     loop.add_signal_handler(signal.SIGINT, program.leave)
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -31,6 +31,7 @@
 class ServerLink(asyncio.BufferedProtocol):
     def __init__(self, owner: ServerLinks, address: Address) -> None:
         self.owner = owner
+        self.form: ServerForm
         self.address = address
         self.handle = owner.links.add(self)
         self.buffer = Buffer()
@@ -49,8 +50,9 @@
 
     # -- one execution -------------------------------------------------------------------------------------
 
-    def begin(self, execution: Execution, request: bytes) -> None:
+    def begin(self, execution: Execution, form: ServerForm, request: bytes) -> None:
         self._stop_clock()
+        self.form = form
         self.execution = execution
         self.request = request
         self.head = self.body = None
@@ -139,8 +141,9 @@
         if isinstance(data, Malformed):
             self.fail(data.why)
             return
-        if head.status != 200:
-            self._done(Declined(self.owner.form.turned_away(head)))
+        streams = head.headers.get("content-type", "").lower().startswith("text/event-stream")
+        if head.status != 200 or not streams:
+            self._done(Declined(self.form.turned_away(head)))
             return
         if data:
             events = self.splitter.feed(data)
@@ -153,7 +156,7 @@
 
     def _pass_on(self, events: bytes) -> None:
         if events and self.execution is not None:
-            kept = self.owner.form.kept_tokens(events)
+            kept = self.form.kept_tokens(events)
             self.kept = self.kept if kept is None else kept
             self.owner.core.passed(self.execution, events)
 
@@ -235,15 +238,13 @@
 class ServerLinks:
     def __init__(
         self,
-        form: ServerForm,
         deadlines: Deadlines,
         counters: Counters,
         connect_limit: float,
         idle_limit: float,
         most: int,
-        where: Callable[[int], Address | None],
+        where: Callable[[int], tuple[Address, ServerForm] | None],
     ) -> None:
-        self.form = form
         self.deadlines = deadlines
         self.counters = counters
         self.connect_limit = connect_limit
@@ -255,22 +256,23 @@
         self.idle: dict[Address, list[ServerLink]] = {}
 
     def start(self, execution: Execution, patience: float) -> Carrier | None:
-        address = self.where(execution.replica)
-        if address is None:
+        found = self.where(execution.replica)
+        if found is None:
             return None
-        request = self.form.request(execution.query, address, patience)
+        address, form = found
+        request = form.request(execution.query, address, patience)
         waiting = self.idle.get(address)
         while waiting:
             link = waiting.pop()  # the latest used: the others get to close
             if not link.closed and link.transport is not None and not link.transport.is_closing():
                 self.counters.server_links_reused += 1
-                link.begin(execution, request)
+                link.begin(execution, form, request)
                 return link
         if len(self.links) >= self.most:
             self._make_room()
         link = ServerLink(self, address)
         self.counters.server_links += 1
-        link.begin(execution, request)
+        link.begin(execution, form, request)
         link.connect(self.connect_limit)
         return link
 
--- /dev/null
+++ b/tests/test_fronts.py
@@ -0,0 +1,167 @@
+"""One suite for both fronts and both forms of model server: the same final answers are counted in each."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from collections.abc import Coroutine
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.net_support import Client, ModelServer, running, stream, until
+
+both_fronts = pytest.mark.parametrize("front", ["platform", "openai"])
+both_forms = pytest.mark.parametrize("form", ["platform", "openai"])
+
+
+def run(scene: Coroutine[Any, Any, None]) -> None:
+    asyncio.run(scene)
+
+
+async def stand(stack: AsyncExitStack, form: str, *scripts: list[str]) -> list[ModelServer]:
+    return [await stack.enter_async_context(ModelServer(form, *script).listening()) for script in scripts]
+
+
+@both_fronts
+@both_forms
+def test_the_same_final_answers_are_counted(front: str, form: str, tmp_path: Path) -> None:
+    """Served; error and reset, then served; turned away three times; broken halfway and asked for again;
+    silent until the deadline."""
+    script = ["serve", "error", "reset", "serve", "away", "away", "away", "half", "serve", "silent"]
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            (server,) = await stand(stack, form, script)
+            program, ports = await stack.enter_async_context(running(tmp_path, [server], form))
+            client = Client(front, ports[front])
+            got: Counter[str] = Counter()
+            for wait in (6.0, 6.0, 6.0, 6.0, 6.0, 0.5):
+                kind, head, body = await client.ask(wait)
+                got[kind] += 1
+                whole = stream(form)
+                if kind == "served":
+                    assert body == b"".join(whole)  # not a byte changed
+                elif kind == "cut":
+                    assert body == b"".join(whole[:2])
+                elif kind == "refused":
+                    assert float(head.headers["retry-after"]) == 2
+                    if front == "openai":
+                        assert json.loads(body)["error"]["code"] == "overloaded"
+            assert got == {"served": 3, "refused": 2, "cut": 1}
+            counters = program.counters
+            assert (counters.served, counters.refused, counters.failed, counters.broken) == (3, 2, 0, 1)
+            assert counters.outcomes["reset"] == 2 and counters.outcomes["error"] == 1
+            assert counters.outcomes["timeout"] >= 1 and counters.overdue == 0
+            assert server.most_out == 1  # never two executions of a query at once
+            ids = [head.headers["x-txn" if form == "platform" else "x-request-id"] for head, _ in server.seen]
+            assert ids[:4] == ["t1", "t2", "t2", "t2"] and not len(program.core.queries)
+
+    run(scene())
+
+
+@both_fronts
+@both_forms
+def test_a_client_that_goes_takes_its_execution_along(front: str, form: str, tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            (server,) = await stand(stack, form, ["silent", "wait"])
+            program, ports = await stack.enter_async_context(running(tmp_path, [server], form))
+            for count in (1, 2):  # before its first event, and in the middle of its answer
+                client = Client(front, ports[front])
+                await client.send()
+                if count == 2:
+                    wire = await client.connect()
+                    assert await wire.head(True) is not None
+                await until(lambda count=count: len(server.seen) == count)  # type: ignore[misc]
+                client.close()
+                await until(lambda count=count: program.counters.clients_gone == count)  # type: ignore[misc]
+                if count == 2:
+                    server.go_on.set()
+                await until(lambda: server.out == 0 and not len(program.core.queries))
+            assert program.counters.outcomes == {"cancelled": 2}
+
+    run(scene())
+
+
+@both_fronts
+@both_forms
+def test_a_program_asked_to_end_answers_what_it_took(front: str, form: str, tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            (server,) = await stand(stack, form, ["serve", "wait"])
+            program, ports = await stack.enter_async_context(running(tmp_path, [server], form))
+            idle, busy, late = (Client(front, ports[front]) for _ in range(3))
+            assert (await idle.ask())[0] == "served"
+            await busy.send()
+            await until(lambda: len(server.seen) == 2)
+            program.leave()
+            wire = await idle.connect()
+            assert not await wire.more()  # invited off
+            kind, head, _ = await late.ask()  # still accepted, and told to go
+            assert kind == "served" and not head.keeps and not program.ended.is_set()
+            server.go_on.set()
+            assert (await busy.answer())[0] == "served"
+            await until(program.ended.is_set)
+
+    run(scene())
+
+
+@both_forms
+def test_an_answer_that_is_wanted_whole(form: str, tmp_path: Path) -> None:
+    """Nothing of it was passed on when a stream breaks, so it may be asked for again elsewhere."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            (server,) = await stand(stack, form, ["half"])
+            _, ports = await stack.enter_async_context(running(tmp_path, [server], form))
+            kind, head, body = await Client("openai", ports["openai"]).ask(stream=False)
+            answer = json.loads(body)
+            assert kind == "served" and head.headers["content-type"] == "application/json"
+            assert answer["object"] == "chat.completion" and answer["usage"]["prompt_tokens"] == 9
+            (choice,) = answer["choices"]
+            assert choice["message"] == {"role": "assistant", "content": "hellothere!"}
+            assert choice["finish_reason"] == "stop" and len(server.seen) == 2
+            asked = json.loads(server.seen[0][1])
+            assert asked["stream"] is True and asked["messages"][1]["content"] == "hi"
+
+    run(scene())
+
+
+@both_fronts
+def test_malformed_input_harms_no_other_link(front: str, tmp_path: Path) -> None:
+    good = f"POST /v1/chat/completions HTTP/1.1\r\nX-Lane: chat\r\nX-{'Txn'}: 1\r\n"
+    cases = {
+        "\x01\x02 what\r\n\r\n": 400,
+        "GET /nowhere HTTP/1.1\r\n\r\n": 404,
+        "GET /v1/chat/completions HTTP/1.1\r\n\r\n": 405,
+        good + "X-Remaining: soon\r\nContent-Length: 2\r\n\r\n{}": 400,
+        good + "X-Remaining: 1\r\nContent-Length: x\r\n\r\n": 400,
+        good + "X-Remaining: 1\r\nContent-Length: 262145\r\n\r\n": 413,
+        good + "X-Remaining: 1\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n": 413,
+        good + "X-Remaining: 1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n": 400,
+        "GET /v1/models HTTP/1.1\r\nA: " + "b" * 40000: 431,
+        "GET /_health HTTP/1.1\r\n\r\n": 200,
+    }
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            (server,) = await stand(stack, "platform", ["wait"])
+            _, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            other = Client(front, ports[front])
+            await other.send()
+            for text, status in cases.items():
+                wire = await Client(front, ports[front]).connect()
+                wire.writer.write(text.encode("latin-1"))
+                head = await wire.head(True)
+                assert head is not None and head.status == status, text[:40]
+                if front == "openai" and status != 200:
+                    assert json.loads((await wire.body(head))[0])["error"]["message"]
+                wire.writer.close()
+            server.go_on.set()
+            assert (await other.answer())[0] == "served"
+
+    run(scene())
