--- a/pearstall/__init__.py
+++ b/pearstall/__init__.py
@@ -1,1 +1,1 @@
-"""pearstall: the decisions of a request router for fleets of language-model servers."""
+"""pearstall: a router for fleets of language-model servers."""
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -195,29 +195,38 @@
             if self.gathered_size > MOST_GATHERED:
                 self.close()
             return False
+        out = chunk(events) if self.framed else events
         if not self.begun:
             self.begun = True
             lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Cache-Control: no-cache"]
-            lines.append("Transfer-Encoding: chunked")
+            if self.framed:
+                lines.append("Transfer-Encoding: chunked")
+            else:
+                self.keeps = False  # HTTP/1.0 knows no chunks: the end of the link is the end of the stream
             if self._last():
                 lines.append("Connection: close")
-            self._write("\r\n".join([*lines, "", ""]).encode() + chunk(events))
-        else:
-            self._write(chunk(events))
+            out = "\r\n".join([*lines, "", ""]).encode() + out
+        self._write(out)
         return True
 
+    @property
+    def framed(self) -> bool:
+        return self.head is not None and self.head.minor == 1
+
     def finish(self) -> None:
         if self.query is not None and not self.query.streams:
             self._reply(self.front.whole(self.query, b"".join(self.gathered)))
         elif not self.begun:
             self._reply(self.front.failed(False))  # a stream without a single event
         else:
-            self._write(LAST_CHUNK)
+            self._write(LAST_CHUNK if self.framed else b"")
             self._next()
 
     def cut(self) -> None:
         """What was passed on goes out first; then the link ends, without the last chunk."""
         self.busy = False
+        if not self.framed and self.transport is not None:
+            self.transport.abort()  # only a reset tells such a client from a whole stream's end
         self.close()
 
     def refuse(self, retry_after: int) -> None:
--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -5,6 +5,7 @@
 import os
 import tomllib
 from collections.abc import Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import Annotated, Any, TypeVar
 
@@ -106,6 +107,8 @@
     names = _decode(bytes(raw.settings), Names, "settings")
     listen = env.get("EDGE_LISTEN") or raw.listen
     discovery = env.get("EDGE_DISCOVERY") or raw.discovery
+    if discovery and not settings.subscribe:
+        settings = replace(settings, subscribe=True)  # on sockets no list comes unasked
     try:
         seed = int(raw.seed, 16) if isinstance(raw.seed, str) else raw.seed
     except ValueError:
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -329,6 +329,7 @@
             first = FirstToken(query.handle, execution.number, execution.replica, took)
             if not query.over and query.answer.pass_on(events):
                 query.passed = True
+                query.body = b""  # nothing is sent again from here on
             self.tell(first)
         elif not query.over and query.answer.pass_on(events):
             query.passed = True
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,201 @@
+"""The core without a wire, on a clock of its own: outcomes, and rules that stand whatever the Router asks."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pearstall.interface import ListKind, Replica, ReplicaList, Result, Send, State
+from pearstall.net.core import Broken, Carrier, Core, Declined, Execution, Query, Reach, Served, result_of
+from pearstall.net.counters import Counters
+from pearstall.net.deadlines import Deadlines
+from pearstall.net.slots import Slots
+from tests.net_support import cut_settings
+from tests.support import settings
+
+
+class Clock:
+    """Time that moves only when told."""
+
+    def __init__(self) -> None:
+        self.now, self.calls, self.count = 100.0, [], 0  # type: float, list[Any], int
+
+    def time(self) -> float:
+        return self.now
+
+    def call_at(self, when: float, callback: Callable[..., Any], /) -> Clock.Call:
+        self.count += 1
+        call = Clock.Call(callback)
+        heapq.heappush(self.calls, (when, self.count, call))
+        return call
+
+    def move(self, by: float) -> None:
+        end = self.now + by
+        while self.calls and self.calls[0][0] <= end:
+            when, _, call = heapq.heappop(self.calls)
+            self.now = max(self.now, when)
+            if call.callback is not None:
+                call.callback()
+        self.now = end
+
+    class Call:
+        def __init__(self, callback: Callable[..., Any] | None) -> None:
+            self.callback = callback
+
+        def cancel(self) -> None:
+            self.callback = None
+
+
+class Scene:
+    """A core between a client and servers that only keep books."""
+
+    def __init__(self) -> None:
+        self.clock, self.counters = Clock(), Counters()
+        self.said: list[str] = []
+        self.out: list[Execution] = []
+        rules = settings(late_worth=0.5, max_attempts=3)
+        self.core = Core(rules, 7, Deadlines(self.clock), self.counters, self)
+        self.core.start()
+        replicas = [Replica(id, 0, 0, State.READY) for id in (1, 2, 3)]
+        self.core.listed(ReplicaList(ListKind.FULL, replicas))
+
+    def start(self, execution: Execution, patience: float) -> Carrier | None:
+        self.out.append(execution)
+        self.said.append(f"send {execution.number}")
+        return self
+
+    def give_up(self) -> None:
+        self.said.append("close")
+
+    def pause(self, paused: bool) -> None:
+        self.said.append(f"pause {paused}")
+
+    def again(self) -> None: ...
+
+    def pass_on(self, events: bytes) -> bool:
+        self.said.append(events.decode())
+        return events != b"kept back"
+
+    def finish(self) -> None:
+        self.said.append("finish")
+
+    def cut(self) -> None:
+        self.said.append("cut")
+
+    def refuse(self, retry_after: int) -> None:
+        self.said.append("refuse")
+
+    def fail(self, timed_out: bool) -> None:
+        self.said.append("fail")
+
+    def ask(self) -> Query:
+        query = Query(0, self.clock.now + 5.0, self)
+        self.core.take(query)
+        return query
+
+
+@pytest.mark.parametrize(
+    ("end", "result"),
+    [
+        (Served(5), Result.OK),
+        (Declined(True), Result.FULL),
+        (Declined(False), Result.ERROR),
+        (Broken(Reach.NOT_CONNECTED, ""), Result.CONNECT_FAILED),
+        (Broken(Reach.PARTLY_WRITTEN, ""), Result.CONNECT_FAILED),
+        (Broken(Reach.FULLY_WRITTEN, ""), Result.RESET),
+        (Broken(Reach.ANSWERING, ""), Result.RESET),
+    ],
+)
+def test_outcomes_follow_the_protocols_table(end: Any, result: Result) -> None:
+    assert result_of(end) == result
+
+
+def test_a_stream_broken_after_its_first_event_is_cut_and_not_sent_again() -> None:
+    scene = Scene()
+    query = scene.ask()
+    scene.core.passed(scene.out[0], b"one")
+    scene.core.pause(query.handle, True)
+    scene.core.ended(scene.out[0], Broken(Reach.ANSWERING, ""))
+    assert scene.said == ["send 0", "one", "pause True", "cut"] and not len(scene.core.queries)
+
+
+def test_what_was_kept_back_may_be_sent_again_and_is_answered_in_time() -> None:
+    scene = Scene()
+    scene.ask()
+    scene.core.passed(scene.out[0], b"kept back")
+    scene.core.ended(scene.out[0], Broken(Reach.ANSWERING, ""))
+    assert scene.said == ["send 0", "kept back", "send 1"]
+    scene.clock.move(6.0)
+    assert scene.said[-1] in ("refuse", "fail") and not len(scene.core.queries)
+
+
+def test_the_old_link_is_closed_before_the_next_execution_and_three_are_the_most() -> None:
+    scene = Scene()
+    scene.ask()
+    scene.clock.move(6.0)
+    assert scene.said[:3] == ["send 0", "close", "send 1"] and scene.said.count("refuse") == 1
+    assert len(scene.out) <= 3 and scene.said.count("close") == len(scene.out)
+
+
+def test_two_executions_are_never_out_at_once_whoever_asks_for_it() -> None:
+    scene = Scene()
+    query = scene.ask()
+    scene.core._carry_out([Send(query.handle, 2, 0)])
+    assert scene.said == ["send 0"] and scene.counters.outcomes == {"moot": 1}
+
+
+def test_a_query_that_nothing_answered_is_answered_by_the_guard() -> None:
+    """Should the Router ever owe an answer at the deadline, the client still gets one, and only one."""
+    scene = Scene()
+    scene.core.router.handle = lambda now, event: []  # type: ignore[method-assign]
+    scene.ask()
+    scene.clock.move(5.05)
+    assert scene.said == ["fail"] and scene.counters.overdue == 1 and not len(scene.core.queries)
+
+
+def test_a_client_that_went_hears_nothing_more() -> None:
+    scene = Scene()
+    query = scene.ask()
+    scene.core.client_gone(query.handle)
+    scene.core.passed(scene.out[0], b"late")
+    scene.core.ended(scene.out[0], Served())
+    scene.clock.move(9.0)
+    assert scene.said == ["send 0", "close"] and not len(scene.core.queries)
+
+
+@cut_settings
+@given(st.lists(st.tuples(st.booleans(), st.integers(0, 9)), max_size=60))
+def test_an_old_handle_finds_nothing(steps: list[tuple[bool, int]]) -> None:
+    slots: Slots[int] = Slots()
+    held: dict[int, int] = {}
+    gone: list[int] = []
+    for number, (add, pick) in enumerate(steps):
+        if add or not held:
+            held[slots.add(number)] = number
+        else:
+            handle = sorted(held)[pick % len(held)]
+            assert slots.remove(handle) == held.pop(handle)
+            gone.append(handle)
+    assert {handle: slots.get(handle) for handle in held} == held and len(slots) == len(held)
+    assert all(slots.get(handle) is None and slots.remove(handle) is None for handle in gone)
+    assert sorted(slots) == sorted(held.values())
+
+
+@cut_settings
+@given(st.lists(st.tuples(st.integers(0, 50), st.booleans()), max_size=200))
+def test_deadlines_come_in_their_order_and_cancelled_ones_never(items: list[tuple[int, bool]]) -> None:
+    clock = Clock()
+    deadlines, came = Deadlines(clock), list[int]()
+    made = [deadlines.after(at, lambda at=at: came.append(at)) for at, _ in items]  # type: ignore[misc]
+    for deadline, (_, cancelled) in zip(made, items, strict=True):
+        if cancelled:
+            deadline.cancel()
+            deadline.cancel()
+    assert len(deadlines) == sum(not cancelled for _, cancelled in items)
+    clock.move(60)
+    assert came == sorted(at for at, cancelled in items if not cancelled) and not len(deadlines)
--- /dev/null
+++ b/tests/test_example.py
@@ -0,0 +1,57 @@
+"""The example folder, run as its README says, on ports of the test's own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from tests.net_support import LOCAL, Client, free_port
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_example_answers_whole_and_streamed(tmp_path: Path) -> None:
+    ports = {old: str(free_port()) for old in ("7070", "7101", "7102", "8081")}
+    for name in ("config.json", "hosts.yaml", "openai.toml"):
+        text = (ROOT / "examples" / name).read_text()
+        for old, new in ports.items():
+            text = text.replace(old, new)
+        (tmp_path / name).write_text(text)
+    toys = [[str(ROOT / "examples" / "toy_server.py"), ports[old]] for old in ("7101", "7102")]
+    files = [str(tmp_path / name) for name in ("config.json", "hosts.yaml", "openai.toml")]
+    router = ["-m", "pearstall", "--config", files[0], "--inventory", files[1], "--openai", files[2]]
+    started = [
+        subprocess.Popen([sys.executable, *words], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE)
+        for words in [*toys, router]
+    ]
+
+    async def scene() -> None:
+        for old in ("7101", "7102", "7070", "8081"):
+            async with asyncio.timeout(60):
+                while True:
+                    try:
+                        (await asyncio.open_connection(LOCAL, int(ports[old])))[1].close()
+                        break
+                    except OSError:
+                        await asyncio.sleep(0.05)
+        openai = Client("openai", int(ports["8081"]))
+        kind, _, body = await openai.ask(model="toy", stream=False)
+        assert kind == "served"
+        assert json.loads(body)["choices"][0]["message"]["content"] == "You said: hi"
+        kind, _, body = await openai.ask(model="toy")
+        assert kind == "served" and body.endswith(b"data: [DONE]\n\n")
+        assert (await Client("platform", int(ports["7070"])).ask())[0] == "served"
+
+    try:
+        asyncio.run(scene())
+        started[2].send_signal(signal.SIGTERM)
+        _, errors = started[2].communicate(timeout=60)
+        assert json.loads(errors.decode().splitlines()[-1].removeprefix("counters "))["served"] == 3
+    finally:
+        for process in started:
+            process.kill()
+            process.communicate()
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,215 @@
+"""Configuration, inventories, and discovery's watch."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from pearstall.interface import ReplicaList
+from pearstall.net.config import ConfigError, read_config
+from pearstall.net.inventory import BadList, HostList, read_csv, read_host_list, read_yaml
+from pearstall.net.platform import number_of
+from tests.net_support import LOCAL, Client, ModelServer, Wire, free_port, running, setup, until
+
+ROOT = Path(__file__).parent.parent
+GOOD: dict[str, Any] = {"name": "s1", "address": "127.0.0.1:7070", "zone": "a", "type": "m1", "group": 3}
+
+
+def message(*entries: object, **changes: Any) -> bytes:
+    return json.dumps({"index": 4, "snapshot": True, "endpoints": entries} | changes).encode()
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [{}, 7, None, GOOD | {"name": ""}, GOOD | {"address": "x"}, GOOD | {"address": "1.2.3.4:99999"},
+     GOOD | {"status": "dancing"}, GOOD | {"status": "gone"}, GOOD | {"since_ms": "soon"}],
+)  # fmt: skip
+def test_a_bad_entry_is_skipped_and_counted(bad: object) -> None:
+    found = read_host_list(message(bad, GOOD, {"name": "s2", "address": "127.0.0.1:1", "new": 1}))
+    assert isinstance(found, HostList)
+    assert ([host.name for host in found.hosts], found.skipped) == (["s1", "s2"], 1)
+
+
+@pytest.mark.parametrize("data", [b"", b"{", b"[]", b'{"index":1}', b"\xff\xfe", message(index="x")])
+def test_a_broken_list_is_a_value(data: bytes) -> None:
+    assert isinstance(read_host_list(data), BadList)
+
+
+YAML_LIST = "hosts:\n  - {name: s1, address: '127.0.0.1:7070', zone: a, weight: 2}\n  - {name: s2}\n"
+YAML_GROUPS = """
+all:
+  vars: {ansible_port: 7070, type: m1}
+  children:
+    gent:
+      vars: {zone: a}
+      hosts:
+        s1: {ansible_host: 127.0.0.1, weight: 2}
+        s2: {ansible_port: none-such}
+"""
+CSV = "Name, Address, Zone, Weight\n# a remark\ns1, 127.0.0.1:7070, a, 2\ns2\ns1,127.0.0.1:1,a,1\n\n"
+
+
+@pytest.mark.parametrize(("read", "text", "skipped"), [(read_yaml, YAML_LIST, 1), (read_yaml, YAML_GROUPS, 1),
+                                                       (read_csv, CSV, 2)])  # fmt: skip
+def test_an_inventory_is_read_as_configuration_tools_keep_it(read: Any, text: str, skipped: int) -> None:
+    found = read(text)
+    assert isinstance(found, HostList) and found.skipped == skipped
+    (host,) = found.hosts
+    assert (host.name, host.address, host.zone, host.weight) == ("s1", "127.0.0.1:7070", "a", 2.0)
+
+
+@pytest.mark.parametrize(("read", "text"), [(read_yaml, "a: [1"), (read_yaml, "7"), (read_yaml, "a: 7"),
+                                            (read_csv, ""), (read_csv, "a,b\n1,2\n")])  # fmt: skip
+def test_a_broken_inventory_is_a_value(read: Any, text: str) -> None:
+    assert isinstance(read(text), BadList)
+
+
+def test_an_inventory_that_breaks_keeps_the_list_held(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            (tmp_path / "hosts.csv").write_text("nonsense")
+            program.reload()
+            assert (await Client("platform", ports["platform"]).ask())[0] == "served"
+            assert program.counters.list_failures == 1
+
+    asyncio.run(scene())
+
+
+class Discovery:
+    """Answers each watch with its next script of lines; after the last line it is silent."""
+
+    def __init__(self, *scripts: list[bytes]) -> None:
+        self.scripts, self.asked = list(scripts), list[str]()
+        self.more = asyncio.Event()
+
+    async def link(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        head = await Wire(reader, writer).head(False)
+        assert head is not None
+        self.asked.append(head.target)
+        lines = self.scripts.pop(0) if self.scripts else None
+        if lines is None:
+            writer.write(b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+        else:
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            for line in lines:
+                if line == b"end":
+                    break
+                if line == b"wait":
+                    await self.more.wait()
+                    continue
+                writer.write(b"%x\r\n%b\n\r\n" % (len(line) + 1, line))
+            else:
+                await reader.read()
+        writer.close()
+
+
+def test_the_watch_tells_changes_at_once_and_comes_back_from_the_index_held(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform").listening())
+            here = GOOD | {"address": f"{LOCAL}:{server.port}", "since_ms": 5000}
+            drains = message(here | {"status": "draining"}, {"nonsense": 1}, index=5, snapshot=False)
+            first = [message(here), b"", b"wait", drains, b"end"]
+            discovery = Discovery(first, [b"broken"], [message(here, index=9)])
+            listener = await asyncio.start_server(discovery.link, LOCAL, 0)
+            port = listener.sockets[0].getsockname()[1]
+            program, _ = await stack.enter_async_context(running(tmp_path, [], discovery=port))
+            told: list[Any] = []
+            tell = program.core.router.handle
+            program.core.router.handle = lambda now, event: told.append(event) or tell(now, event)  # type: ignore
+            await until(lambda: bool(program.group.addresses))
+            id = number_of("s1")
+            assert program.core.router.replicas[id].ready
+            discovery.more.set()
+            await until(lambda: not program.core.router.replicas[id].ready)
+            await until(lambda: program.group.index == 9)
+            path = "/catalog/members?stream=1"
+            assert discovery.asked == [path, f"{path}&index=5", f"{path}&index=5"]
+            lists = [event for event in told if isinstance(event, ReplicaList)]
+            starts = {entry.started for event in lists for entry in event.replicas}
+            assert len(starts) == 1 and program.core.router.replicas[id].ready  # one start, told as one
+            assert program.counters.list_entries_skipped == 1 and program.counters.list_failures == 2
+            listener.close()
+
+    asyncio.run(scene())
+
+
+def config_file(folder: Path, **changes: Any) -> Path:
+    path = folder / "config.json"
+    port = free_port()
+    whole = {"listen": f"{LOCAL}:{port}", "discovery": f"{LOCAL}:1", "seed": "8c1f", "settings": setup()}
+    path.write_text(json.dumps(whole | changes))
+    return path
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"listen": "nowhere"}, {"listen": ""}, {"seed": "xyz"}, {"settings": {}}, {"settings": 3},
+     {"settings": setup(tick="soon")}, {"limits": {"sockets": "many"}}, {"discovery": ""}],
+)  # fmt: skip
+def test_a_bad_configuration_is_one_line(changes: dict[str, Any], tmp_path: Path) -> None:
+    with pytest.raises(ConfigError) as raised:
+        read_config({}, config=str(config_file(tmp_path, **changes)))
+    assert "\n" not in str(raised.value) and str(raised.value)
+
+
+def test_the_file_under_deploy_is_a_second_front_and_a_wrong_one_is_told(tmp_path: Path) -> None:
+    deploy, given = str(ROOT / "deploy" / "openai.toml"), str(config_file(tmp_path))
+    assert read_config({}, deploy, "", given).openai_listen == (LOCAL, 8081)
+    assert read_config({}, config=given).openai_listen is None
+    for text in ("listen = 7", 'listen = "127.0.0.1:1"\ndefault_class = "none"', "what", 'other = "1"',
+                 'listen = "127.0.0.1:1"\nserver_form = "carrier pigeon"'):  # fmt: skip
+        (tmp_path / "bad.toml").write_text(text)
+        with pytest.raises(ConfigError):
+            read_config({}, str(tmp_path / "bad.toml"), "", given)
+
+
+def start(*words: str, **env: str) -> subprocess.Popen[str]:
+    command = [sys.executable, "-m", "pearstall", *words]
+    return subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True, env=os.environ | env)
+
+
+def test_the_program_ends_with_one_line_where_it_cannot_start(tmp_path: Path) -> None:
+    for words in ([], ["--config", str(tmp_path / "none")]):
+        _, errors = start(*words, EDGE_CONFIG="").communicate(timeout=60)
+        assert errors.startswith("pearstall: ") and errors.count("\n") == 1
+
+
+def test_the_program_prints_its_counters_on_a_signal_and_at_its_end(tmp_path: Path) -> None:
+    (tmp_path / "hosts.yaml").write_text(YAML_LIST)
+    given = config_file(tmp_path)
+    port = int(json.loads(given.read_text())["listen"].rpartition(":")[2])
+    process = start("--config", str(given), "--inventory", str(tmp_path / "hosts.yaml"))
+    assert process.stderr is not None
+
+    async def healthy() -> None:
+        async with asyncio.timeout(60):
+            while True:
+                try:
+                    reader, writer = await asyncio.open_connection(LOCAL, port)
+                except OSError:
+                    await asyncio.sleep(0.05)
+                    continue
+                writer.write(b"GET /_health HTTP/1.1\r\n\r\n")
+                head = await Wire(reader, writer).head(True)
+                assert head is not None and head.status == 200
+                writer.close()
+                return
+
+    asyncio.run(healthy())
+    for number in (signal.SIGUSR1, signal.SIGTERM):
+        process.send_signal(number)
+        line = process.stderr.readline()
+        assert json.loads(line.removeprefix("counters "))["client_links"] == 1
+    assert process.wait(timeout=60) == 0
