Let a connection's buffer grow with reads that fill it: one read a query of 30 KB, not eight

Seen: 1.0 ms (median) from a query to its first execution. Profiled in process, 200 queries of 30 KB each: eight reads a query, each a turn of the loop; the buffer was emptied as it came and so never grew past 4 KB. Now one read after the first few. Ruled out: the Router (under 5% of it).

--- a/pearstall/net/buffer.py
+++ b/pearstall/net/buffer.py
@@ -9,13 +9,14 @@
 class Buffer:
     """Bytes come in at the end through `room` and `wrote`; parsers take them from the front."""
 
-    __slots__ = ("data", "start", "end", "lent")
+    __slots__ = ("data", "start", "end", "lent", "filled")
 
     def __init__(self) -> None:
         self.data = bytearray(FIRST)
         self.start = 0
         self.end = 0
         self.lent: memoryview | None = None
+        self.filled = False  # the last read
 
     def __len__(self) -> int:
         return self.end - self.start
@@ -28,13 +29,17 @@
             if not held or len(self.data) - self.end < len(self.data) // 4:
                 self.data[:held] = self.data[self.start : self.end]
                 self.start, self.end = 0, held
-        if self.end == len(self.data):
+        # A read that filled its room shows that more is waiting: without growing then, a query of 30 KB that is
+        # taken out as it comes took eight reads of 4 KB, each a turn of the loop.
+        if self.end == len(self.data) or (self.filled and len(self.data) < KEPT):
             self.data.extend(bytes(len(self.data)))
+        self.filled = False
         self.lent = memoryview(self.data)[self.end :]
         return self.lent
 
     def wrote(self, count: int) -> None:
         # The transport still holds its view here, and a view that is out bars the bytearray from growing.
+        self.filled = self.lent is not None and count == len(self.lent)
         self._take_back()
         self.end += count
 
--- a/tests/net_support.py
+++ b/tests/net_support.py
@@ -143,6 +143,7 @@
         self.out = self.most_out = self.links = 0
         self.port = 0
         self.go_on = asyncio.Event()
+        self.open: set[asyncio.StreamWriter] = set()
 
     @asynccontextmanager
     async def listening(self) -> AsyncIterator[ModelServer]:
@@ -153,9 +154,13 @@
         finally:
             self.go_on.set()
             server.close()
+            for writer in self.open:
+                writer.close()
+            await until(lambda: not self.open)
 
     async def _link(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.links += 1
+        self.open.add(writer)
         wire = Wire(reader, writer)
         try:
             while (head := await wire.head(False)) is not None:
@@ -172,6 +177,7 @@
             pass
         finally:
             writer.close()
+            self.open.discard(writer)
 
     async def _answer(self, wire: Wire, what: str) -> bool:
         writer = wire.writer
