--- a/pearstall/net/buffer.py
+++ b/pearstall/net/buffer.py
@@ -29,8 +29,8 @@
             if not held or len(self.data) - self.end < len(self.data) // 4:
                 self.data[:held] = self.data[self.start : self.end]
                 self.start, self.end = 0, held
-        # A read that filled its room shows that more is waiting: without growing then, a query of 30 KB that is
-        # taken out as it comes took eight reads of 4 KB, each a turn of the loop.
+        # A read that filled its room shows that more waits. Without growing then, a query of 30 KB, taken
+        # out as it comes, took eight reads of 4 KB, each a turn of the loop.
         if self.end == len(self.data) or (self.filled and len(self.data) < KEPT):
             self.data.extend(bytes(len(self.data)))
         self.filled = False
--- a/tests/net_support.py
+++ b/tests/net_support.py
@@ -122,13 +122,14 @@
                 return data, False
 
 
-def stream(form: str, text: str = "hello there") -> list[bytes]:
+def stream(form: str, chat: bool = True) -> list[bytes]:
     """The events of one answer, as each form's public description has them."""
-    base = {"id": "c1", "object": "chat.completion.chunk", "created": 5, "model": "chat"}
-    base = base if form == "openai" else {}
-    words = [{"delta": {"content": word}, "index": 0, "finish_reason": None} for word in text.split(" ")]
-    rows: list[dict[str, Any]] = [{**base, "choices": [word]} for word in words]
-    rows.append({**base, "choices": [{"index": 0, "delta": {"content": "!"}, "finish_reason": "stop"}]})
+    kind = "chat.completion.chunk" if chat else "text_completion"
+    base = {"id": "c1", "object": kind, "created": 5, "model": "chat"} if form == "openai" else {}
+    rows: list[dict[str, Any]] = []
+    for word, end in (("hello", None), ("there", None), ("!", "stop")):
+        part: dict[str, Any] = {"delta": {"content": word}} if chat else {"text": word}
+        rows.append({**base, "choices": [{"index": 0, "finish_reason": end, **part}]})
     usage = {"prompt_tokens": 9, "completion_tokens": 3, "prompt_tokens_details": {"cached_tokens": 4}}
     rows.append({**base, "choices": [], "usage": usage})
     return [b"data: %b\n\n" % json.dumps(row).encode() for row in rows] + [b"data: [DONE]\n\n"]
@@ -191,7 +192,7 @@
             mark = "X-Turned-Away: 1\r\n" if what == "away" and self.form == "platform" else ""
             writer.write(f"HTTP/1.1 {status}\r\n{mark}Content-Length: 0\r\n\r\n".encode())
             return True
-        events = stream(self.form)
+        events = stream(self.form, self.seen[-1][0].path == PATH)
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
         for number, event in enumerate(events):
