Cut streams that stall, and end what waits before a planned restart kills it

Streams without an event for 4 s now count as broken; 3.2 s after SIGTERM queries without a first event are refused, and streams are ended where clients ask for the rest. Server links are also shut at once when they fail, not a turn of the loop later, so that no second execution can find the first one open. Tests for each, without sockets or clocks.

--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -32,6 +32,10 @@
     connect_timeout: Positive = 1_000_000
 
 
+class Family(msgspec.Struct):
+    resume: bool = False  # clients ask for the rest of a stream that broke
+
+
 class Names(msgspec.Struct):
     """What the wire calls the classes, tenants, zones and kinds, in the order that gives them numbers."""
 
@@ -40,6 +44,7 @@
     dcs: list[str] = []
     models: list[str] = []
     limits: LinkLimits = msgspec.field(default_factory=LinkLimits)
+    family: Family = msgspec.field(default_factory=Family, name="familyInfo")
 
 
 class Limits(msgspec.Struct):
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -35,6 +35,7 @@
 from pearstall.net.deadlines import Deadline, Deadlines
 from pearstall.net.slots import Slots
 
+STALL = 4.0  # a stream without an event for so long has no server any more: a vanished machine says nothing
 GUARD = 0.015  # past a query's deadline: the final answer is still on time here, should the Router owe one
 
 
@@ -131,7 +132,8 @@
 class Execution:
     """One attempt of a query."""
 
-    __slots__ = ("query", "number", "replica", "began", "started", "ended", "timeout", "carrier")
+    __slots__ = ("query", "number", "replica", "began", "started", "ended", "timeout", "carrier",
+                 "latest", "paused")  # fmt: skip
 
     def __init__(self, query: Query, number: int, replica: int, began: float) -> None:
         self.query = query
@@ -142,6 +144,8 @@
         self.ended = False
         self.timeout: Deadline | None = None
         self.carrier: Carrier | None = None
+        self.latest = began  # when something of its answer came last
+        self.paused = False  # the client reads slowly
 
 
 class Servers(Protocol):
@@ -241,6 +245,7 @@
         if query is not None:
             for execution in query.executions:
                 if not execution.ended and execution.carrier is not None:
+                    execution.paused, execution.latest = paused, self.clock()
                     execution.carrier.pause(paused)
 
     def _overdue(self, query: Query) -> None:
@@ -318,10 +323,12 @@
         query = execution.query
         if execution.ended:
             return
+        execution.latest = self.clock()
         if not execution.started:
             execution.started = True
             if execution.timeout is not None:
                 execution.timeout.cancel()
+            self._watch_stream(execution)
             if query.guard is not None:
                 query.guard.cancel()
                 query.guard = None
@@ -334,6 +341,30 @@
         elif not query.over and query.answer.pass_on(events):
             query.passed = True
 
+    def _watch_stream(self, execution: Execution) -> None:
+        due = execution.latest + STALL
+        if execution.paused or self.clock() < due:
+            again = max(due, self.clock() + STALL / 4)
+            execution.timeout = self.deadlines.at(again, partial(self._watch_stream, execution))
+            return
+        # Left alone, its client would wait on for an end that nobody sends; cut, it asks for the rest.
+        if execution.carrier is not None:
+            execution.carrier.give_up()
+        self.ended(execution, Broken(Reach.ANSWERING, "no event came"))
+
+    def hurry(self, resumable: bool) -> None:
+        """The program is about to be killed: whoever waits for a first event may ask elsewhere in time,
+        and so may, where clients ask for the rest of a stream, those in the middle of one."""
+        for query in self.queries:
+            if query.over or (query.passed and not resumable):
+                continue
+            if query.passed:
+                self.counters.moved += 1
+                self._answer(query.handle, lambda answer: answer.cut())
+            else:
+                self._answer(query.handle, partial(_refuse, 0))
+            self.tell(ClientGone(query.handle))
+
     def ended(self, execution: Execution, end: End) -> None:
         """The server link is done with it."""
         if execution.ended:
--- a/pearstall/net/counters.py
+++ b/pearstall/net/counters.py
@@ -19,6 +19,7 @@
     refused: int = 0
     failed: int = 0
     broken: int = 0  # streams that ended without their end
+    moved: int = 0  # streams ended before the program's own end, for their clients to go on elsewhere
     clients_gone: int = 0
     overdue: int = 0  # answered by the guard at the deadline, not by the Router
     exceptions: int = 0  # that stopped at a connection
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -23,6 +23,9 @@
 CLIENT_PART = 0.5  # of the other sockets
 STAY = 1.0  # after SIGTERM new clients may still come for less than this
 QUIET = 0.5  # and the last one's query for less than this
+# A program asked to end may be killed once the longest deadline, but no more than 3 s, and 0.7 s are over.
+KILLED_AFTER = 3.0
+HASTE = 0.2  # past that deadline, what is still owed is ended, with half a second to spare
 
 
 class Program:
@@ -91,6 +94,9 @@
         if not self.leaving_from:
             self.leaving_from = self.loop.time()
             self.clients.leave()
+            longest = max(klass.give_up for klass in self.config.settings.classes) / 1e6
+            resumable = self.config.names.family.resume
+            self.deadlines.after(min(longest, KILLED_AFTER) + HASTE, partial(self.core.hurry, resumable))
             self._look()
 
     def _look(self) -> None:
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 from collections.abc import Callable
 from typing import Protocol
@@ -46,7 +47,6 @@
         self.splitter = EventSplitter()
         self.kept = 0
         self.deadline: Deadline | None = None  # of the connect, then of being idle
-        self.eof = False
 
     # -- one execution -------------------------------------------------------------------------------------
 
@@ -199,21 +199,19 @@
             self.owner.core.ended(execution, Broken(reach, why))
 
     def give_up(self) -> None:
-        """At once, so that the next execution finds no earlier one on an open connection."""
         self.execution = None
-        if self.transport is not None:
-            end: socket.socket | None = self.transport.get_extra_info("socket")
-            try:
-                if end is not None:
-                    end.shutdown(socket.SHUT_RDWR)
-            except OSError:
-                pass  # the other side was quicker
         self.close()
 
     def close(self) -> None:
+        """At once, so that the next execution finds no earlier one on an open connection: the transport
+        itself would close its socket a turn of the loop later."""
         self.closed = True
         self._stop_clock()
         if self.transport is not None:
+            end: socket.socket | None = self.transport.get_extra_info("socket")
+            with contextlib.suppress(OSError):  # the other side was quicker
+                if end is not None:
+                    end.shutdown(socket.SHUT_RDWR)
             self.transport.abort()
         elif self.connecting is not None:
             self.connecting.cancel()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -124,6 +124,34 @@
     assert scene.said == ["send 0", "one", "pause True", "cut"] and not len(scene.core.queries)
 
 
+def test_a_stream_without_an_event_for_long_is_cut_but_a_paused_one_is_not() -> None:
+    """A machine that vanishes says nothing: its client would wait for ever."""
+    scene = Scene()
+    query = scene.ask()
+    scene.core.passed(scene.out[0], b"one")
+    scene.clock.move(3.0)
+    scene.core.passed(scene.out[0], b"two")
+    scene.core.pause(query.handle, True)
+    scene.clock.move(30.0)
+    scene.core.pause(query.handle, False)
+    scene.clock.move(3.0)
+    assert scene.said == ["send 0", "one", "two", "pause True", "pause False"]
+    scene.clock.move(3.0)
+    assert scene.said[5:] == ["close", "cut"] and not len(scene.core.queries)
+
+
+@pytest.mark.parametrize("resumable", [False, True])
+def test_before_the_program_is_killed_what_waits_may_ask_elsewhere(resumable: bool) -> None:
+    scene = Scene()
+    scene.ask()
+    scene.core.passed(scene.out[0], b"one")
+    scene.ask()
+    scene.core.hurry(resumable)
+    moved = ["cut", "close"] if resumable else []
+    assert scene.said == ["send 0", "one", "send 0", *moved, "refuse", "close"]
+    assert len(scene.core.queries) == (0 if resumable else 1)
+
+
 def test_what_was_kept_back_may_be_sent_again_and_is_answered_in_time() -> None:
     scene = Scene()
     scene.ask()
