Tell clients what an OpenAI-style server finds wrong with their query, and eject nobody for it

Found by reading: a server's 400 counted as an error of the server, was tried three times and could eject good servers by a streak of somebody's bad queries. It now goes to the client as it came, and counts neither way. Only for servers of the OpenAI-style form; the platform's table stays as it is. Also tests that a client which reads slowly holds its server back, and a line and a count for exceptions that no connection stopped.

--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from pearstall.net.buffer import Buffer
-from pearstall.net.core import Core, Query
+from pearstall.net.core import Blamed, Core, Query
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadline
 from pearstall.net.http1 import LAST_CHUNK, Body, Head, Malformed, Reply, body_of, chunk, read_head
@@ -237,6 +237,9 @@
         self.owner.counters.failed += 1
         self._reply(self.front.failed(timed_out))
 
+    def blame(self, end: Blamed) -> None:
+        self._reply(Reply(end.status, end.body, {}, end.content_type))
+
     def _last(self) -> bool:
         """Whether the link ends after this answer. Before the program ends, clients are invited off."""
         if self.owner.leaving:
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -60,13 +60,22 @@
     turned_away: bool
 
 
+@dataclass(slots=True, frozen=True)
+class Blamed:
+    """An answer that blames the query itself, in the OpenAI-style form: it goes to the client."""
+
+    status: int
+    body: bytes
+    content_type: str
+
+
 @dataclass(slots=True, frozen=True)
 class Broken:
     reach: Reach
     why: str
 
 
-End = Served | Declined | Broken
+End = Served | Declined | Blamed | Broken
 
 
 def result_of(end: End) -> Result:
@@ -75,6 +84,8 @@
         return Result.OK
     if isinstance(end, Declined):
         return Result.FULL if end.turned_away else Result.ERROR
+    if isinstance(end, Blamed):
+        return Result.CANCELLED  # says nothing of the server: bad queries must not get good servers ejected
     return Result.RESET if end.reach >= Reach.FULLY_WRITTEN else Result.CONNECT_FAILED
 
 
@@ -95,6 +106,8 @@
 
     def fail(self, timed_out: bool) -> None: ...
 
+    def blame(self, end: Blamed) -> None: ...
+
 
 class Carrier(Protocol):
     """What carries an execution: a server link."""
@@ -376,6 +389,11 @@
                 answer = query.answer
                 query.over = True
                 answer.finish()
+            elif isinstance(end, Blamed):
+                self.counters.blamed += 1
+                answer = query.answer
+                query.over = True
+                answer.blame(end)
             elif query.passed:
                 # No second execution: the client has a part of this answer, and asks for the rest itself.
                 self.counters.broken += 1
--- a/pearstall/net/counters.py
+++ b/pearstall/net/counters.py
@@ -18,6 +18,7 @@
     served: int = 0
     refused: int = 0
     failed: int = 0
+    blamed: int = 0  # answered with what a server found wrong with the query
     broken: int = 0  # streams that ended without their end
     moved: int = 0  # streams ended before the program's own end, for their clients to go on elsewhere
     clients_gone: int = 0
--- a/pearstall/net/http1.py
+++ b/pearstall/net/http1.py
@@ -18,7 +18,8 @@
 
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
-    429: "Too Many Requests", 431: "Request Header Fields Too Large", 500: "Internal Server Error",
+    429: "Too Many Requests", 422: "Unprocessable Content",
+    431: "Request Header Fields Too Large", 500: "Internal Server Error",
     502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
 
--- a/pearstall/net/openai.py
+++ b/pearstall/net/openai.py
@@ -263,5 +263,8 @@
             f"Content-Length: {len(query.body)}\r\n\r\n"
         ).encode("latin-1") + query.body
 
+    def blames_query(self, head: Head) -> bool:
+        return head.status in (400, 404, 413, 422)
+
     def turned_away(self, head: Head) -> bool:
         return head.status in (429, 503) or super().turned_away(head)
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -118,6 +118,9 @@
     def turned_away(self, head: Head) -> bool:
         return head.status in (503, 504) and head.headers.get("x-turned-away", "").strip() == "1"
 
+    def blames_query(self, head: Head) -> bool:
+        return False
+
     def kept_tokens(self, events: bytes) -> int | None:
         if b'"usage"' not in events:
             return None
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -6,9 +6,10 @@
 import signal
 import sys
 from functools import partial
+from typing import Any
 
 from pearstall.interface import ListKind
-from pearstall.net.client_link import ClientLink, ClientLinks
+from pearstall.net.client_link import ClientLink, ClientLinks, print_error
 from pearstall.net.config import Config, ConfigError
 from pearstall.net.core import Core
 from pearstall.net.counters import Counters
@@ -117,6 +118,13 @@
         self.group.subscribe(False)
         self.servers.close()
 
+    def exception(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What no connection stopped: a line and a count, and the program goes on."""
+        self.counters.exceptions += 1
+        error = context.get("exception")
+        if isinstance(error, Exception):
+            print_error(error)
+
     def print_counters(self) -> None:
         print(self.counters.line(), file=sys.stderr, flush=True)
 
@@ -128,6 +136,7 @@
 async def run(config: Config) -> None:
     program = Program(config)
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(program.exception)
     loop.add_signal_handler(signal.SIGTERM, program.leave)
     loop.add_signal_handler(signal.SIGINT, program.leave)
     loop.add_signal_handler(signal.SIGUSR1, program.print_counters)
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 from pearstall.net.buffer import Buffer
-from pearstall.net.core import Broken, Carrier, Core, Declined, End, Execution, Query, Reach, Served
+from pearstall.net.core import Blamed, Broken, Carrier, Core, Declined, End, Execution, Query, Reach, Served
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadline, Deadlines
 from pearstall.net.events import EventSplitter
@@ -17,6 +17,7 @@
 from pearstall.net.slots import Slots
 
 Address = tuple[str, int]
+LARGEST_BLAME = 64 * 1024
 
 
 class ServerForm(Protocol):
@@ -26,6 +27,8 @@
 
     def turned_away(self, head: Head) -> bool: ...
 
+    def blames_query(self, head: Head) -> bool: ...
+
     def kept_tokens(self, events: bytes) -> int | None: ...
 
 
@@ -46,6 +49,7 @@
         self.body: Body | None = None
         self.splitter = EventSplitter()
         self.kept = 0
+        self.blame: list[bytes] = []  # the body of an error
         self.deadline: Deadline | None = None  # of the connect, then of being idle
 
     # -- one execution -------------------------------------------------------------------------------------
@@ -58,6 +62,7 @@
         self.head = self.body = None
         self.splitter = EventSplitter()
         self.kept = 0
+        self.blame = []
         self.written = False
         if self.transport is not None:
             self._write()
@@ -142,6 +147,14 @@
             self.fail(data.why)
             return
         streams = head.headers.get("content-type", "").lower().startswith("text/event-stream")
+        if self.form.blames_query(head):
+            self.blame.append(data)
+            if self.body.done:
+                kind = head.headers.get("content-type", "application/json")
+                self._done(Blamed(head.status, b"".join(self.blame), kind))
+            elif sum(map(len, self.blame)) > LARGEST_BLAME:
+                self.fail("an error without an end")
+            return
         if head.status != 200 or not streams:
             self._done(Declined(self.form.turned_away(head)))
             return
--- a/tests/net_support.py
+++ b/tests/net_support.py
@@ -20,6 +20,7 @@
 T = TypeVar("T")
 LOCAL = "127.0.0.1"
 PATH = "/v1/chat/completions"
+FLOOD = [b"data: %b\n\n" % (b"x" * 60_000)] * 400
 cut_settings = hypothesis_settings(derandomize=True, deadline=None, max_examples=120)
 cuts = st.lists(st.integers(1, 40), min_size=1, max_size=12)
 
@@ -187,16 +188,23 @@
             return False
         if what == "reset":
             return False
+        if what == "blame":
+            head = "HTTP/1.1 400 Bad\r\nContent-Type: application/json\r\nContent-Length: 18\r\n\r\n"
+            writer.write(head.encode() + b'{"error":"no mud"}')
+            return True
         if what in ("error", "away"):
             status = "500 Oops" if what == "error" else "503 Busy"
             mark = "X-Turned-Away: 1\r\n" if what == "away" and self.form == "platform" else ""
             writer.write(f"HTTP/1.1 {status}\r\n{mark}Content-Length: 0\r\n\r\n".encode())
             return True
         events = stream(self.form, self.seen[-1][0].path == PATH)
+        if what == "flood":
+            events = FLOOD
         head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
         for number, event in enumerate(events):
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
             if what == "half" and number == 1:
                 await writer.drain()
                 return False
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -11,7 +11,18 @@
 from hypothesis import strategies as st
 
 from pearstall.interface import ListKind, Replica, ReplicaList, Result, Send, State
-from pearstall.net.core import Broken, Carrier, Core, Declined, Execution, Query, Reach, Served, result_of
+from pearstall.net.core import (
+    Blamed,
+    Broken,
+    Carrier,
+    Core,
+    Declined,
+    Execution,
+    Query,
+    Reach,
+    Served,
+    result_of,
+)
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadlines
 from pearstall.net.slots import Slots
@@ -93,6 +104,9 @@
     def fail(self, timed_out: bool) -> None:
         self.said.append("fail")
 
+    def blame(self, end: Blamed) -> None:
+        self.said.append(f"blame {end.status}")
+
     def ask(self) -> Query:
         query = Query(0, self.clock.now + 5.0, self)
         self.core.take(query)
@@ -105,6 +119,7 @@
         (Served(5), Result.OK),
         (Declined(True), Result.FULL),
         (Declined(False), Result.ERROR),
+        (Blamed(400, b"", ""), Result.CANCELLED),
         (Broken(Reach.NOT_CONNECTED, ""), Result.CONNECT_FAILED),
         (Broken(Reach.PARTLY_WRITTEN, ""), Result.CONNECT_FAILED),
         (Broken(Reach.FULLY_WRITTEN, ""), Result.RESET),
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.net_support import Client, ModelServer, running, stream, until
+from tests.net_support import FLOOD, Client, ModelServer, running, stream, until
 
 both_fronts = pytest.mark.parametrize("front", ["platform", "openai"])
 both_forms = pytest.mark.parametrize("form", ["platform", "openai"])
@@ -110,6 +110,25 @@
     run(scene())
 
 
+def test_a_client_that_reads_slowly_holds_its_server_back_and_memory_stays_bounded(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            (server,) = await stand(stack, "platform", ["flood"])
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            wire = await client.connect()
+            wire.writer.transport.pause_reading()  # type: ignore[attr-defined]
+            await client.send()
+            await until(lambda: any(e.paused for q in program.core.queries for e in q.executions))
+            (link,) = program.clients.links
+            assert link.transport is not None and link.transport.get_write_buffer_size() < 1 << 20
+            wire.writer.transport.resume_reading()  # type: ignore[attr-defined]
+            kind, _, body = await client.answer()
+            assert kind == "served" and body == b"".join(FLOOD)
+
+    run(scene())
+
+
 @both_forms
 def test_an_answer_that_is_wanted_whole(form: str, tmp_path: Path) -> None:
     """Nothing of it was passed on when a stream breaks, so it may be asked for again elsewhere."""
@@ -131,6 +150,24 @@
     run(scene())
 
 
+@both_fronts
+def test_what_a_server_finds_wrong_with_a_query_is_told_and_ejects_nobody(front: str, tmp_path: Path) -> None:
+    """Else each bad query would be tried three times, and three of them would eject a good server."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            (server,) = await stand(stack, "openai", ["blame"] * 4)
+            program, ports = await stack.enter_async_context(running(tmp_path, [server], "openai"))
+            client = Client(front, ports[front])
+            for _ in range(4):
+                kind, head, body = await client.ask()
+                assert (kind, head.status, body) == ("failed", 400, b'{"error":"no mud"}')
+            assert (await client.ask())[0] == "served" and len(server.seen) == 5
+            assert program.counters.blamed == 4 and program.core.router.ejected == 0 and server.links == 1
+
+    run(scene())
+
+
 @both_fronts
 def test_malformed_input_harms_no_other_link(front: str, tmp_path: Path) -> None:
     good = f"POST /v1/chat/completions HTTP/1.1\r\nX-Lane: chat\r\nX-{'Txn'}: 1\r\n"
