--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -168,6 +168,34 @@
     run(scene())
 
 
+def test_old_and_hasty_clients_are_served_in_their_turn(tmp_path: Path) -> None:
+    """Two queries in one write; one that waits for 100; and HTTP/1.0, which knows no chunks."""
+    ask = "POST /v1/chat/completions HTTP/1.{}\r\nX-Txn: {}\r\nX-Lane: chat\r\nX-Remaining: 6\r\n{}\r\n"
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            (server,) = await stand(stack, "platform", [])
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            wire = await client.connect()
+            wire.writer.write((ask.format(1, "a", "") + ask.format(1, "b", "")).encode())
+            for _ in range(2):
+                assert (await client.answer())[2] == b"".join(stream("platform"))
+            wire.writer.write(ask.format(1, "c", "Expect: 100-continue\r\nContent-Length: 2\r\n").encode())
+            head = await wire.head(True)
+            assert head is not None and head.status == 100
+            wire.writer.write(b"{}")
+            assert (await client.answer())[0] == "served" and server.seen[2][1] == b"{}"
+            wire.writer.write(ask.format(0, "d", "").encode())
+            head = await wire.head(True)
+            assert head is not None and "transfer-encoding" not in head.headers and not head.keeps
+            assert (await wire.body(head))[0] == b"".join(stream("platform"))
+            assert [head.headers["x-txn"] for head, _ in server.seen] == ["a", "b", "c", "d"]
+            assert program.counters.client_links == 1 and server.links == 1
+
+    run(scene())
+
+
 @both_fronts
 def test_malformed_input_harms_no_other_link(front: str, tmp_path: Path) -> None:
     good = f"POST /v1/chat/completions HTTP/1.1\r\nX-Lane: chat\r\nX-{'Txn'}: 1\r\n"
