--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from tests.net_support import FLOOD, Client, ModelServer, running, stream, until
+from tests.net_support import FLOOD, Client, ModelServer, free_port, running, setup, stream, until
 
 both_fronts = pytest.mark.parametrize("front", ["platform", "openai"])
 both_forms = pytest.mark.parametrize("form", ["platform", "openai"])
@@ -196,6 +196,42 @@
     run(scene())
 
 
+def test_links_are_reused_closed_when_idle_and_bounded_in_number(tmp_path: Path) -> None:
+    """A server closes a link idle for connIdle; a query written to it then would end as a reset."""
+    changes = setup()
+    changes["limits"]["connIdle"] = 200_000
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            (server,) = await stand(stack, "platform", [])
+            router = running(tmp_path, [server], settings=changes)
+            program, ports = await stack.enter_async_context(router)
+            program.clients.most = 2
+            clients = [Client("platform", ports["platform"]) for _ in range(3)]
+            for client in clients:  # the third takes the place of one that is idle
+                assert (await client.ask())[0] == "served"
+            assert len(program.clients.links) == 2
+            assert program.counters.server_links + program.counters.server_links_reused == 3
+            await until(lambda: not server.open and not len(program.servers.links))
+            server.script = ["serve"]
+            assert (await clients[2].ask())[0] == "served"
+            assert program.counters.outcomes == {"ok": 4}
+
+    run(scene())
+
+
+def test_a_refused_connect_is_told_as_one_that_never_ran(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            gone = ModelServer("platform")
+            gone.port = free_port()
+            program, ports = await stack.enter_async_context(running(tmp_path, [gone]))
+            assert (await Client("platform", ports["platform"]).ask())[0] == "refused"
+            assert program.counters.outcomes == {"connect_failed": 3}
+
+    run(scene())
+
+
 @both_fronts
 def test_malformed_input_harms_no_other_link(front: str, tmp_path: Path) -> None:
     good = f"POST /v1/chat/completions HTTP/1.1\r\nX-Lane: chat\r\nX-{'Txn'}: 1\r\n"
