Look for what waits unread before a link is closed as idle or used again

Found by reading: at SIGTERM an idle client link could be closed on a query that had come whole but was not read, and a query could be written to a kept server link whose end had come but was not read, a sure reset. Both now look at the socket first. While the program is about to end, a link that was not told to go stays 0.1 s for a query on its way. Tests for the look, and for a watch that falls silent.

--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -5,6 +5,7 @@
 import asyncio
 import sys
 import traceback
+from collections.abc import Callable
 from typing import Protocol
 
 from pearstall.net.buffer import Buffer
@@ -12,6 +13,7 @@
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadline
 from pearstall.net.http1 import LAST_CHUNK, Body, Head, Malformed, Reply, body_of, chunk, read_head
+from pearstall.net.pending import pending
 from pearstall.net.slots import Slots
 
 LARGEST_BODY = 256 * 1024
@@ -20,6 +22,7 @@
 READ_LIMIT = 30.0  # for a query to come whole
 IDLE_LIMIT = 120.0
 UNSENT = 64 * 1024  # towards a client, before its server link is paused
+INVITE = 0.1  # for a link's next query, while the program is about to end
 LINGER = 2.0  # a link closed while more may come
 
 
@@ -86,12 +89,19 @@
     def eof_received(self) -> bool:
         return False  # a client that closes has gone: connection_lost follows
 
-    def _wait(self, limit: float) -> None:
+    def _wait(self, limit: float, then: Callable[[], object] | None = None) -> None:
         if self.deadline is not None:
             self.deadline.cancel()
             self.deadline = None
         if limit:
-            self.deadline = self.owner.deadlines.after(limit, self.close)
+            self.deadline = self.owner.deadlines.after(limit, then or self.close)
+
+    def retire(self) -> bool:
+        """Closes the link between two queries, but not on one that has come and was not read yet."""
+        quiet = self.idle and self.transport is not None and not pending(self.transport)
+        if quiet:
+            self.close()
+        return quiet
 
     # -- reading -------------------------------------------------------------------------------------------
 
@@ -262,10 +272,13 @@
         self.head = self.body = None
         self.came = 0.0
         self.gathered = []
-        if not self.keeps or self.owner.leaving:
+        if not self.keeps:
             self._linger()
             return
-        self._wait(IDLE_LIMIT)
+        if self.owner.leaving:
+            self._wait(INVITE, self.retire)  # not told to go: the next query may be on its way
+        else:
+            self._wait(IDLE_LIMIT)
         if len(self.buffer):
             asyncio.get_running_loop().call_soon(self.buffer_updated, 0)
 
@@ -311,8 +324,7 @@
         self.latest = self.deadlines.clock.time()
         if len(self.links) > self.most:
             for other in self.links:
-                if other.idle and other is not link:
-                    other.close()
+                if other is not link and other.retire():
                     return
             link.close()
 
@@ -320,5 +332,5 @@
         """The program is about to end: links between two queries are closed, the rest after their answer."""
         self.leaving = True
         for link in self.links:
-            if link.idle and link.carried:
-                link.close()
+            if link.carried:
+                link.retire()
--- a/pearstall/net/deadlines.py
+++ b/pearstall/net/deadlines.py
@@ -22,9 +22,9 @@
 class Deadline:
     __slots__ = ("call", "owner")
 
-    def __init__(self, owner: Deadlines, call: Callable[[], None]) -> None:
+    def __init__(self, owner: Deadlines, call: Callable[[], object]) -> None:
         self.owner = owner
-        self.call: Callable[[], None] | None = call
+        self.call: Callable[[], object] | None = call
 
     def cancel(self) -> None:
         if self.call is not None:
@@ -44,14 +44,14 @@
     def __len__(self) -> int:
         return len(self.heap) - self.dead
 
-    def at(self, when: float, call: Callable[[], None]) -> Deadline:
+    def at(self, when: float, call: Callable[[], object]) -> Deadline:
         deadline = Deadline(self, call)
         self.count += 1
         heapq.heappush(self.heap, (when, self.count, deadline))
         self._arm()
         return deadline
 
-    def after(self, delay: float, call: Callable[[], None]) -> Deadline:
+    def after(self, delay: float, call: Callable[[], object]) -> Deadline:
         return self.at(self.clock.time() + delay, call)
 
     def dropped(self) -> None:
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -14,6 +14,7 @@
 from pearstall.net.deadlines import Deadline, Deadlines
 from pearstall.net.events import EventSplitter
 from pearstall.net.http1 import Body, Head, Malformed, body_of, read_head
+from pearstall.net.pending import pending
 from pearstall.net.slots import Slots
 
 Address = tuple[str, int]
@@ -275,7 +276,11 @@
         waiting = self.idle.get(address)
         while waiting:
             link = waiting.pop()  # the latest used: the others get to close
-            if not link.closed and link.transport is not None and not link.transport.is_closing():
+            if link.closed or link.transport is None or link.transport.is_closing():
+                continue
+            if pending(link.transport):
+                link.close()  # its end has come but was not read yet: the query would be a reset
+            else:
                 self.counters.server_links_reused += 1
                 link.begin(execution, form, request)
                 return link
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import heapq
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +27,7 @@
 )
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadlines
+from pearstall.net.pending import pending
 from pearstall.net.slots import Slots
 from tests.net_support import cut_settings
 from tests.support import settings
@@ -211,6 +214,25 @@
     assert scene.said == ["send 0", "close"] and not len(scene.core.queries)
 
 
+def test_what_waits_unread_on_a_connection_is_seen() -> None:
+    """Else a link is closed on a query just come, or a query written to a link that has just ended."""
+    for end in (b"x", b""):
+        ours, theirs = socket.socketpair()
+
+        class Transport(asyncio.BaseTransport):
+            def get_extra_info(self, name: str, default: Any = None, ours: Any = ours) -> Any:
+                return ours
+
+        assert not pending(Transport())
+        theirs.sendall(end)
+        if not end:
+            theirs.close()
+        assert pending(Transport())
+        ours.close()
+        assert pending(Transport())
+        theirs.close()
+
+
 @cut_settings
 @given(st.lists(st.tuples(st.booleans(), st.integers(0, 9)), max_size=60))
 def test_an_old_handle_finds_nothing(steps: list[tuple[bool, int]]) -> None:
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -145,6 +145,23 @@
     asyncio.run(scene())
 
 
+def test_a_watch_without_its_lines_is_dead(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("pearstall.net.host_group.SILENCE", 0.1)
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            discovery = Discovery([message(GOOD, index=6)], [])
+            listener = await asyncio.start_server(discovery.link, LOCAL, 0)
+            port = listener.sockets[0].getsockname()[1]
+            program, _ = await stack.enter_async_context(running(tmp_path, [], discovery=port))
+            await until(lambda: len(discovery.asked) >= 2)
+            assert discovery.asked[1].endswith("&index=6") and program.counters.list_failures >= 1
+            assert number_of("s1") in program.group.addresses  # the list held stays
+            listener.close()
+
+    asyncio.run(scene())
+
+
 def config_file(folder: Path, **changes: Any) -> Path:
     path = folder / "config.json"
     port = free_port()
