Follow discovery to its new address on SIGHUP: reload 0.34 to 0.49

SIGHUP read only an inventory again (Program.reload in serve.py); the watch went back to the old address for good, as HostGroup.discovery never changed, and news of servers that drained, came and went was missed. EDGE_DISCOVERY, as old as the process, would also have hidden the file's new address.

A file that can't be read changes nothing. The new address is asked for the whole list.

--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -79,6 +79,15 @@
     settings: msgspec.Raw = msgspec.Raw(b"null")
 
 
+class Source(msgspec.Struct, frozen=True):
+    """Where a configuration was read, for reading it again."""
+
+    env: dict[str, str] = {}
+    openai: str = ""
+    inventory: str = ""
+    config: str = ""
+
+
 class Config(msgspec.Struct):
     name: str
     listen: tuple[str, int] | None
@@ -91,6 +100,8 @@
     openai: OpenAIConfig | None = None
     openai_listen: tuple[str, int] | None = None
     inventory: Path | None = None
+    said: str = ""  # where its file says that discovery is; the environment may have said otherwise
+    source: Source = msgspec.field(default_factory=lambda: Source())
 
 
 def address(text: str, what: str) -> tuple[str, int]:
@@ -137,9 +148,22 @@
         openai=second,
         openai_listen=address(second.listen, "openai listen") if second else None,
         inventory=Path(inventory) if inventory else None,
+        said=raw.discovery,
+        source=Source(dict(env), openai, inventory, config),
     )
 
 
+def read_again(held: Config) -> Config:
+    """The same files once more. The environment is as old as the process: where the file names another
+    discovery than before, that goes before what the environment said, now and from then on."""
+    source = held.source
+    found = read_config(source.env, source.openai, source.inventory, source.config)
+    if found.said != held.said:
+        env = {key: value for key, value in source.env.items() if key != "EDGE_DISCOVERY"}
+        found = read_config(env, source.openai, source.inventory, source.config)
+    return found
+
+
 def read_openai(path: str, names: Names) -> OpenAIConfig:
     try:
         table: dict[str, Any] = tomllib.loads(_read(path, "openai").decode())
--- a/pearstall/net/counters.py
+++ b/pearstall/net/counters.py
@@ -27,6 +27,8 @@
     list_changes: int = 0
     list_failures: int = 0
     list_entries_skipped: int = 0
+    reloads: int = 0  # of the configuration, and those that found it unreadable
+    reload_failures: int = 0
     logs: int = 0
 
     def outcome(self, name: str) -> None:
--- a/pearstall/net/host_group.py
+++ b/pearstall/net/host_group.py
@@ -82,6 +82,14 @@
             self.watch = WatchLink(self, self.discovery)
             self.watch.start()
 
+    def follow(self, discovery: tuple[str, int] | None) -> None:
+        """Discovery has another address. The index held is the old one's, so the whole list is asked for:
+        a delta counted from there might leave out what changed meanwhile."""
+        if discovery != self.discovery and discovery is not None:
+            self.discovery = discovery
+            self.index = -1
+            self.subscribe(True)
+
     def failed(self, watch: WatchLink) -> None:
         if watch is self.watch:
             self.watch = None
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -10,7 +10,7 @@
 
 from pearstall.interface import ListKind
 from pearstall.net.client_link import ClientLink, ClientLinks, print_error
-from pearstall.net.config import Config, ConfigError
+from pearstall.net.config import Config, ConfigError, read_again
 from pearstall.net.core import Core
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadlines
@@ -29,6 +29,13 @@
 HASTE = 0.2  # past that deadline, what is still owed is ended, with half a second to spare
 
 
+def shares(sockets: int) -> tuple[int, int]:
+    """How many links to clients and to servers there may be at once."""
+    free = sockets - SPARE_SOCKETS if sockets > 2 * SPARE_SOCKETS else SPARE_SOCKETS
+    clients = int(free * CLIENT_PART)
+    return clients, free - clients
+
+
 class Program:
     """One router. Made inside a running loop."""
 
@@ -37,15 +44,14 @@
         self.loop = asyncio.get_running_loop()
         self.deadlines = Deadlines(self.loop)
         self.counters = Counters()
-        sockets = config.limits.sockets - SPARE_SOCKETS if config.limits.sockets > 96 else 48
-        clients = int(sockets * CLIENT_PART)
+        clients, servers = shares(config.limits.sockets)
         limits = config.names.limits
         self.servers = ServerLinks(
             self.deadlines,
             self.counters,
             limits.connect_timeout / 1e6,
             IDLE_PART * limits.conn_idle / 1e6,
-            sockets - clients,
+            servers,
             self._where,
         )
         self.core = Core(config.settings, config.seed, self.deadlines, self.counters, self.servers)
@@ -95,7 +101,7 @@
         if not self.leaving_from:
             self.leaving_from = self.loop.time()
             self.clients.leave()
-            longest = max(klass.give_up for klass in self.config.settings.classes) / 1e6
+            longest = max(klass.give_up for klass in self.core.settings.classes) / 1e6
             resumable = self.config.names.family.resume
             self.deadlines.after(min(longest, KILLED_AFTER) + HASTE, partial(self.core.hurry, resumable))
             self._look()
@@ -129,6 +135,17 @@
         print(self.counters.line(), file=sys.stderr, flush=True)
 
     def reload(self) -> None:
+        """Reads the configuration again, under load. What can't be read changes nothing."""
+        try:
+            found = read_again(self.config)
+        except ConfigError as error:
+            self.counters.reload_failures += 1
+            print(f"{error}; the configuration held stays", file=sys.stderr, flush=True)
+        else:
+            self.counters.reloads += 1
+            self.config = found
+            self.clients.most, self.servers.most = shares(found.limits.sockets)
+            self.group.follow(found.discovery)
         if self.config.inventory is not None:
             self.group.load(self.config.inventory)
 
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -162,6 +162,46 @@
     asyncio.run(scene())
 
 
+def test_sighup_follows_discovery_to_its_new_address_and_drops_nothing(tmp_path: Path) -> None:
+    """The environment still names the old address, and a new discovery may count its lists anew. A file that
+    can't be read changes nothing; a watch on the old address would be asked for until the program's end."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            servers = [await stack.enter_async_context(ModelServer("platform").listening()) for _ in "ab"]
+            servers[0].script = ["wait"]
+            lists = [message({**GOOD, "name": f"s{n}", "address": f"{LOCAL}:{server.port}"}, index=9 - n)
+                     for n, server in enumerate(servers)]  # fmt: skip
+            old, new = Discovery([lists[0]]), Discovery([lists[1]])
+            ports = []
+            for discovery in (old, new):
+                listener = await asyncio.start_server(discovery.link, LOCAL, 0)
+                ports.append(listener.sockets[0].getsockname()[1])
+                stack.callback(listener.close)
+            program, fronts = await stack.enter_async_context(running(tmp_path, [], discovery=ports[0]))
+            await until(lambda: bool(program.group.addresses))
+            client = Client("platform", fronts["platform"])
+            await client.send()
+            await until(lambda: len(servers[0].seen) == 1)
+            path = tmp_path / "config.json"
+            good = json.loads(path.read_text())
+            for text in ('{"half', json.dumps(good | {"settings": 3}), json.dumps(good)):
+                path.write_text(text)
+                program.reload()
+            assert program.group.discovery == (LOCAL, ports[0]) and len(old.asked) == 1
+            for _ in "ab":  # the second time nothing is new
+                path.write_text(json.dumps(good | {"discovery": f"{LOCAL}:{ports[1]}"}))
+                program.reload()
+            await until(lambda: number_of("s1") in program.group.addresses)
+            assert (program.counters.reloads, program.counters.reload_failures) == (3, 2)
+            assert new.asked == ["/catalog/members?stream=1"] and len(old.asked) == 1
+            servers[0].go_on.set()
+            assert (await client.answer())[0] == "served"
+            assert (await client.ask())[0] == "served" and len(servers[1].seen) == 1
+
+    asyncio.run(scene())
+
+
 def config_file(folder: Path, **changes: Any) -> Path:
     path = folder / "config.json"
     port = free_port()
