Refuse what no server can use, let go who asks nothing whole, end spoilt answers at once

At fault: PlatformFront.read took any body, and PlatformServer.blames_query counted a 4xx as the server's failure.

Also: one id is open once; a query is whole within 2.4 s of its link or its first byte; silent and half queries give way for links and memory; accepts come 32 at a time, as a flood accepted in one go passed the limit before any link was closed. Server links end at noise, heads and chunks that can't be right, and events that are none, and pass on what came whole before.

--- a/pearstall/net/buffer.py
+++ b/pearstall/net/buffer.py
@@ -70,6 +70,11 @@
         self.skip(len(out))
         return out
 
+    def rest(self) -> None:
+        """Nothing is due for a while: an empty buffer that has grown gives its memory back."""
+        if not len(self) and self.lent is None and len(self.data) > FIRST:
+            self.data = bytearray(FIRST)
+
     def skip(self, count: int) -> None:
         self.start += min(count, self.end - self.start)
         if self.start == self.end:
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -6,6 +6,7 @@
 import sys
 import traceback
 from collections.abc import Callable
+from itertools import islice
 from typing import Protocol
 
 from pearstall.net.buffer import Buffer
@@ -19,11 +20,12 @@
 LARGEST_BODY = 256 * 1024
 MOST_AHEAD = 64 * 1024  # read of a next query while one is under way
 MOST_GATHERED = 4 << 20  # of an answer that is given whole
-READ_LIMIT = 30.0  # for a query to come whole
-IDLE_LIMIT = 120.0
+READ_LIMIT = 2.4  # for a query to come whole, from its first byte; for the first one, from the accept
+IDLE_LIMIT = 4.0  # between two queries
+GRACE = 0.3  # a link accepted just now is let be, though its query has not come
 UNSENT = 64 * 1024  # towards a client, before its server link is paused
 INVITE = 0.1  # for a link's next query, while the program is about to end
-LINGER = 2.0  # a link closed while more may come
+LINGER = 1.0  # a link closed while more may come
 
 
 class Front(Protocol):
@@ -75,12 +77,14 @@
         self.transport = transport
         transport.set_write_buffer_limits(UNSENT)
         self.handle = self.owner.links.add(self)
+        self._wait(READ_LIMIT, self.too_slow)
         self.owner.accepted(self)
-        self._wait(IDLE_LIMIT)
 
     def connection_lost(self, error: Exception | None) -> None:
         self.owner.links.remove(self.handle)
+        self.owner.lost(self)
         self._wait(0)
+        self._drop_parts()
         if self.busy and self.query is not None:
             self.busy = False
             self.owner.core.client_gone(self.query.handle)
@@ -103,6 +107,22 @@
             self.close()
         return quiet
 
+    def too_slow(self) -> None:
+        """Its query has not come whole in time, or its place is wanted. Who said nothing is told nothing."""
+        if self.transport is not None and self.transport.get_write_buffer_size():
+            self.transport.abort()  # nor does it read what it was told
+        elif self.closing:
+            self.abort()
+        elif self.idle:
+            if not self.retire():
+                self._wait(INVITE, self.too_slow)  # a query has come and is about to be read
+        else:
+            self._bad(Malformed("the query has not come whole in time", 408))
+
+    def _drop_parts(self) -> None:
+        self.owner.held -= self.size
+        self.parts, self.size = [], 0
+
     # -- reading -------------------------------------------------------------------------------------------
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -133,7 +153,9 @@
             if self.head is None:
                 if not self.came:
                     self.came = self.owner.deadlines.clock.time()
-                    self._wait(READ_LIMIT)
+                    if self.carried:  # the first one's time runs from the accept
+                        self._wait(READ_LIMIT, self.too_slow)
+                    self.owner.reading(self)
                 head = read_head(self.buffer)
                 if head is None:
                     return
@@ -145,7 +167,7 @@
                     self._bad(body)
                     return
                 self.head, self.body = head, body
-                self.parts, self.size = [], 0
+                self._drop_parts()
                 self.keeps = head.keeps
                 if body.left > LARGEST_BODY:
                     self._bad(Malformed("the body is too large", 413))
@@ -160,6 +182,11 @@
             if data:
                 self.parts.append(data)
                 self.size += len(data)
+                self.owner.held += len(data)
+                if self.owner.held > self.owner.most_held and not self.owner.free_memory(self):
+                    self.owner.counters.crowded_out += 1
+                    self._reply(self.front.refused(0), last=True)
+                    return
             if self.size > LARGEST_BODY or (self.body.chunked and self.body.left > LARGEST_BODY):
                 self._bad(Malformed("the body is too large", 413))
                 return
@@ -169,12 +196,16 @@
 
     def _whole(self, head: Head, body: bytes) -> None:
         self._wait(0)
+        self.owner.whole(self)
         self.parts = []
         direct = self.front.check(head)
         if direct is not None:
             self._reply(direct)
             return
         query = self.front.read(head, body, self.came, self)
+        if isinstance(query, Query) and query.txn in self.owner.core.open_ids:
+            # Under one id two queries would be two copies of one to the model servers.
+            query = self.front.malformed(Malformed("another query with this id is open", 409))
         if isinstance(query, Reply):
             self.owner.counters.malformed += 1
             self._reply(query)
@@ -238,6 +269,7 @@
         if not self.framed and self.transport is not None:
             self.transport.abort()  # only a reset tells such a client from a whole stream's end
         self.close()
+        self._wait(LINGER, self.abort)  # one that doesn't read must not wait for what it has left unread
 
     def refuse(self, retry_after: int) -> None:
         self.owner.counters.refused += 1
@@ -272,13 +304,17 @@
         self.head = self.body = None
         self.came = 0.0
         self.gathered = []
+        self.query = None
+        self._drop_parts()
+        self.owner.rests(self)
         if not self.keeps:
             self._linger()
             return
+        self.buffer.rest()
         if self.owner.leaving:
             self._wait(INVITE, self.retire)  # not told to go: the next query may be on its way
         else:
-            self._wait(IDLE_LIMIT)
+            self._wait(IDLE_LIMIT, self.too_slow)
         if len(self.buffer):
             asyncio.get_running_loop().call_soon(self.buffer_updated, 0)
 
@@ -288,13 +324,18 @@
         self.buffer.skip(len(self.buffer))
         if self.transport is not None and not self.transport.is_closing():
             self.transport.write_eof()
-            self._wait(LINGER)
+            self._wait(LINGER, self.abort)
 
     def close(self) -> None:
         self.closing = True
         if self.transport is not None:
             self.transport.close()
 
+    def abort(self) -> None:
+        self.closing = True
+        if self.transport is not None:
+            self.transport.abort()
+
     def pause_writing(self) -> None:
         if self.query is not None:
             self.owner.core.pause(self.query.handle, True)
@@ -315,19 +356,65 @@
         self.deadlines = core.deadlines
         self.counters = counters
         self.most = most
+        self.most_held = 16 << 20
+        self.held = 0  # bytes of bodies, of queries that are coming or open
         self.links: Slots[ClientLink] = Slots()
+        # In the order in which they came to be so: links that owe a whole query, and those between two.
+        self.owing: dict[ClientLink, float] = {}
+        self.resting: dict[ClientLink, None] = {}
         self.leaving = False
         self.latest = 0.0  # when a link was accepted last
 
     def accepted(self, link: ClientLink) -> None:
         self.counters.client_links += 1
         self.latest = self.deadlines.clock.time()
-        if len(self.links) > self.most:
-            for other in self.links:
-                if other is not link and other.retire():
-                    return
+        self.owing[link] = self.latest
+        if len(self.links) > self.most and not self._make_room(link):
+            self.counters.crowded_out += 1
             link.close()
 
+    def _make_room(self, link: ClientLink) -> bool:
+        """Who holds a link and asks for nothing goes first: hundreds that stay silent must not keep out those
+        who ask. Then the ones between two queries, the longest at rest first."""
+        oldest, since = next(iter(self.owing.items()))
+        if oldest is not link and self.latest - since > GRACE:
+            oldest.too_slow()
+            return True
+        for other in list(islice(self.resting, 8)):
+            if other.closing:
+                other.abort()
+                return True
+            if other.retire():
+                return True
+        if oldest is not link:
+            oldest.too_slow()
+        return oldest is not link
+
+    def free_memory(self, link: ClientLink) -> bool:
+        """Half queries that are left lying must not use up the memory of those that come whole."""
+        for other in list(self.owing):
+            if other is not link and other.size:
+                other.too_slow()
+                if self.held <= self.most_held:
+                    return True
+        return False
+
+    def reading(self, link: ClientLink) -> None:
+        self.resting.pop(link, None)
+        self.owing.setdefault(link, self.deadlines.clock.time())
+
+    def whole(self, link: ClientLink) -> None:
+        self.owing.pop(link, None)
+
+    def rests(self, link: ClientLink) -> None:
+        self.owing.pop(link, None)
+        self.resting.pop(link, None)
+        self.resting[link] = None
+
+    def lost(self, link: ClientLink) -> None:
+        self.owing.pop(link, None)
+        self.resting.pop(link, None)
+
     def leave(self) -> None:
         """The program is about to end: links between two queries are closed, the rest after their answer."""
         self.leaving = True
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -180,6 +180,7 @@
         self.counters = counters
         self.servers = servers
         self.queries: Slots[Query] = Slots()
+        self.open_ids: set[str] = set()  # the clients' own, of the queries in the slots
         self.router = Router(settings, seed)
         self.events: deque[Event] = deque()
         self.driving = False
@@ -230,6 +231,8 @@
         """One final answer is owed from here on."""
         query.handle = handle = self.queries.add(query)
         self.counters.queries += 1
+        if query.txn:
+            self.open_ids.add(query.txn)
         query.guard = self.deadlines.at(query.deadline + GUARD, lambda: self._overdue(query))
         self.tell(
             Request(
@@ -285,7 +288,8 @@
 
     def _forget(self, query: Query) -> None:
         if query.over and not query.out:
-            self.queries.remove(query.handle)
+            if self.queries.remove(query.handle) is not None:
+                self.open_ids.discard(query.txn)
             if not len(self.queries):
                 self.idle()
 
--- a/pearstall/net/events.py
+++ b/pearstall/net/events.py
@@ -2,32 +2,45 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterator
 
 from pearstall.net.http1 import Malformed
 
 LARGEST_EVENT = 1 << 20
+# Possessive throughout: a line's end that could be read in two ways must not make the search go back.
+LINES = re.compile(rb"(?:(?:(?:data|event|id|retry)(?::[^\r\n]*+)?+|:[^\r\n]*+)?+(?>\r\n|\r|\n))*+")
 ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 
 
 class EventSplitter:
-    __slots__ = ("rest",)
+    __slots__ = ("rest", "spoilt")
 
     def __init__(self) -> None:
         self.rest = b""
+        self.spoilt: Malformed | None = None  # what came whole before is given first
 
     def feed(self, data: bytes) -> bytes | Malformed:
         """All that ends with a whole event, in the order it came; what is left waits for the next call."""
+        if self.spoilt is not None:
+            return self.spoilt
         data = self.rest + data if self.rest else data
-        cut = 0
-        for end in ENDS:
-            at = data.rfind(end)
-            if at >= 0:
-                cut = max(cut, at + len(end))
-        self.rest = data[cut:]
-        if len(self.rest) > LARGEST_EVENT:
-            return Malformed("an event without an end")
-        return data[:cut]
+        cut = _whole(data, len(data))
+        # A chunk of a wrong size leaves framing among the events; passed on, it would be part of the answer.
+        lines = LINES.match(data, 0, cut)
+        if lines is not None and lines.end() < cut:
+            self.spoilt = Malformed("an event that is none")
+            cut = _whole(data, lines.end())
+        elif len(data) - cut > LARGEST_EVENT:
+            self.spoilt = Malformed("an event without an end")
+        self.rest = b"" if self.spoilt else data[cut:]
+        return data[:cut] if cut or self.spoilt is None else self.spoilt
+
+
+def _whole(data: bytes, end: int) -> int:
+    """Where the last whole event before there ends."""
+    found = [at + len(mark) for mark in ENDS if (at := data.rfind(mark, 0, end)) >= 0]
+    return max(found, default=0)
 
 
 def payloads(events: bytes) -> Iterator[bytes]:
--- a/pearstall/net/http1.py
+++ b/pearstall/net/http1.py
@@ -9,16 +9,24 @@
 
 LARGEST_HEAD = 32768
 LARGEST_LINE = 1024  # of a chunk's size, with its extensions
+LARGEST_CHUNK = 4 << 20  # a size that claims gigabytes is a broken one, and would pass for endless data
+CLOSELY = 4096  # a head up to here has every line read as it comes; of a longer one only the latest
 TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/1\.([01])")
 STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9][0-9])(?: .*)?")
 SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
+CHUNK_START = re.compile(rb"[0-9A-Fa-f]{0,15}(?:[ \t;\r]|$)")
 DIGITS = re.compile(rb"[0-9]{1,15}")
 CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+METHOD_START = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]{1,64}(?: |$)")
+STATUS_START = b"HTTP/1."
+# Given twice, each would be joined to something that nobody sent.
+ONCE = {"content-length", "transfer-encoding", "host"}
+FRAMING = {"content-length", "transfer-encoding", "connection", "content-type"}
 
 REASONS = {
     200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed", 413: "Content Too Large",
-    429: "Too Many Requests", 422: "Unprocessable Content",
+    408: "Request Timeout", 409: "Conflict", 429: "Too Many Requests", 422: "Unprocessable Content",
     431: "Request Header Fields Too Large", 500: "Internal Server Error",
     502: "Bad Gateway", 503: "Service Unavailable", 504: "Gateway Timeout",
 }  # fmt: skip
@@ -77,27 +85,41 @@
     """Takes a whole head from the buffer; None: it has not all come."""
     while not response and buffer.peek(2) == b"\r\n":
         buffer.skip(2)  # some clients end a body with an empty line of their own
+    if not len(buffer) or (not response and buffer.peek(2) == b"\r"):
+        return None
     end = buffer.find(b"\r\n\r\n", 0, LARGEST_HEAD + 4)
     if end < 0:
         if len(buffer) > LARGEST_HEAD:
             return Malformed("the head is too large", 431)
-        # Garbage shows in the first line; waiting for the end of a head would leave it hanging.
-        line_end = buffer.find(b"\r\n")
-        if line_end >= 0:
-            first = _first_line(buffer.peek(line_end), response)
-            return first if isinstance(first, Malformed) else None
-        return None
-    lines = buffer.take(end + 4)[:-4].split(b"\r\n")
+        # Garbage shows at once; waiting for the end of a head would leave it hanging until a deadline.
+        start = buffer.peek(66)
+        if response and not STATUS_START.startswith(start[:7]):
+            return Malformed("no status line")
+        if not response and not METHOD_START.match(start):
+            return Malformed("no request line")
+        come = buffer.peek(CLOSELY)
+        if b"\r\n" not in come:
+            return None
+        found = _lines(come.split(b"\r\n")[:-1], response)
+        return found if isinstance(found, Malformed) else None
+    return _lines(buffer.take(end + 4)[:-4].split(b"\r\n"), response)
+
+
+def _lines(lines: list[bytes], response: bool) -> Head | Malformed:
     head = _first_line(lines[0], response)
     if isinstance(head, Malformed):
         return head
     for line in lines[1:]:
         name, colon, value = line.partition(b":")
-        if not colon or not TOKEN.fullmatch(name) or CONTROL.search(value):
+        if not colon or not TOKEN.fullmatch(name):
             return Malformed("a header is no header")
         key, text = name.decode("ascii").lower(), value.strip(b" \t").decode("latin-1")
+        if CONTROL.search(value):
+            if response and key not in FRAMING:
+                continue  # a report that can't be read spoils no good answer
+            return Malformed("a header is no header")
         if key in head.headers:
-            if key in ("content-length", "transfer-encoding", "host"):
+            if key in ONCE or (not response and key.startswith("x-")):
                 return Malformed(f"{key} is given twice")
             text = f"{head.headers[key]}, {text}"
         head.headers[key] = text
@@ -117,7 +139,7 @@
 class Body:
     """Reads one body from the buffer as it comes; `done` once its end was read."""
 
-    __slots__ = ("left", "chunked", "until_close", "done", "in_trailer", "data_end", "trailer")
+    __slots__ = ("left", "chunked", "until_close", "done", "in_trailer", "data_end", "trailer", "spoilt")
 
     def __init__(self, length: int = 0, chunked: bool = False, until_close: bool = False) -> None:
         self.left = length
@@ -126,10 +148,13 @@
         self.in_trailer = False
         self.data_end = False  # a chunk's data was read, its line end was not
         self.trailer = 0
+        self.spoilt: Malformed | None = None
         self.done = not (length or chunked or until_close)
 
     def feed(self, buffer: Buffer) -> bytes | Malformed:
         """What the buffer holds of it, without the framing."""
+        if self.spoilt is not None:
+            return self.spoilt
         if self.done:
             return b""
         if self.until_close:
@@ -153,27 +178,34 @@
                 if len(buffer) < 2:
                     break
                 if buffer.take(2) != b"\r\n":
-                    return Malformed("a chunk without its end")
+                    return self._spoilt(parts, Malformed("a chunk without its end"))
                 self.data_end = False
             end = buffer.find(b"\r\n", 0, LARGEST_LINE + 2)
             if end < 0:
-                if len(buffer) > LARGEST_LINE:
-                    return Malformed("a chunk's line is too long")
+                if len(buffer) > LARGEST_LINE or not CHUNK_START.match(buffer.peek(16)):
+                    return self._spoilt(parts, Malformed("a chunk's line can't be read"))
                 break
             line = buffer.take(end + 2)[:-2]
             if self.in_trailer:
                 self.trailer += len(line)
                 if self.trailer > LARGEST_HEAD:
-                    return Malformed("the trailer is too large", 431)
+                    return self._spoilt(parts, Malformed("the trailer is too large", 431))
                 self.done = not line
                 continue
             size, _, _ = line.partition(b";")
             if not SIZE.fullmatch(size.strip(b" \t")):
-                return Malformed("a chunk without a size")
+                return self._spoilt(parts, Malformed("a chunk without a size"))
             self.left = int(size, 16)
+            if self.left > LARGEST_CHUNK:
+                return self._spoilt(parts, Malformed("a chunk that is too large", 413))
             self.in_trailer = self.left == 0
         return b"".join(parts)
 
+    def _spoilt(self, parts: list[bytes], why: Malformed) -> bytes | Malformed:
+        """What came whole before it is given first; `spoilt` tells why nothing follows."""
+        self.spoilt = why
+        return b"".join(parts) if parts else why
+
 
 def body_of(head: Head) -> Body | Malformed:
     """The framing of the body that follows this head."""
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -6,6 +6,8 @@
 from functools import lru_cache
 from hashlib import blake2b
 
+import msgspec
+
 from pearstall.net.config import Names
 from pearstall.net.core import Answer, Query
 from pearstall.net.http1 import Head, Malformed, Reply
@@ -36,6 +38,10 @@
     return float(text) if DECIMAL.fullmatch(text.strip()) else None
 
 
+class Body(msgspec.Struct):
+    """An object is all that is asked of a body; servers know what it must hold."""
+
+
 class Labels:
     """The pairs of an X-Labels header."""
 
@@ -75,6 +81,10 @@
             return self.malformed(Malformed("X-Lane names no class"))
         if wait is None:
             return self.malformed(Malformed("X-Remaining is no number of seconds"))
+        try:
+            msgspec.json.decode(body, type=Body)
+        except (msgspec.DecodeError, UnicodeDecodeError):
+            return self.malformed(Malformed("the body is no JSON object"))
         labels = Labels(headers.get("x-labels", ""))
         return Query(
             class_index=lane,
@@ -119,7 +129,8 @@
         return head.status in (503, 504) and head.headers.get("x-turned-away", "").strip() == "1"
 
     def blames_query(self, head: Head) -> bool:
-        return False
+        """What a server can't use is its client's fault: sent on, it would get good servers ejected."""
+        return 400 <= head.status < 500 and head.status not in (408, 429)
 
     def kept_tokens(self, events: bytes) -> int | None:
         if b'"usage"' not in events:
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+import socket
 import sys
 from functools import partial
 from typing import Any
@@ -20,7 +21,10 @@
 from pearstall.net.server_link import ServerForm, ServerLinks
 
 IDLE_PART = 0.7  # of the time after which a model server closes an idle link
-SPARE_SOCKETS = 48  # listeners, the watch, files
+SPARE_SOCKETS = 64  # listeners, the watch, files, and links that are accepted before others are closed
+WAITING = 1024  # links that the system holds until they are accepted
+AT_ONCE = 32  # accepted in one go; a flood accepted as one would go past the limit before any is closed
+HELD_PART = 0.15  # of the memory, for the bodies of queries
 CLIENT_PART = 0.5  # of the other sockets
 STAY = 1.0  # after SIGTERM new clients may still come for less than this
 QUIET = 0.5  # and the last one's query for less than this
@@ -31,11 +35,22 @@
 
 def shares(sockets: int) -> tuple[int, int]:
     """How many links to clients and to servers there may be at once."""
-    free = sockets - SPARE_SOCKETS if sockets > 2 * SPARE_SOCKETS else SPARE_SOCKETS
+    free = sockets - SPARE_SOCKETS if sockets > 2 * SPARE_SOCKETS else sockets // 2
     clients = int(free * CLIENT_PART)
     return clients, free - clients
 
 
+def _bound(host: str, port: int) -> socket.socket:
+    end = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        end.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        end.bind((host, port))
+    except OSError:
+        end.close()
+        raise
+    return end
+
+
 class Program:
     """One router. Made inside a running loop."""
 
@@ -59,6 +74,7 @@
         self.group = HostGroup(self.core, config.names, config.discovery)
         self.core.watch = self.group.subscribe
         self.clients = ClientLinks(self.core, self.counters, clients)
+        self.clients.most_held = int(config.limits.memory_mb * HELD_PART * (1 << 20))
         self.fronts: dict[tuple[str, int], PlatformFront | OpenAIFront] = {}
         if config.listen is not None:
             self.fronts[config.listen] = PlatformFront(config.names)
@@ -83,7 +99,9 @@
             self.group.load(self.config.inventory)
         for (host, port), front in self.fronts.items():
             make = partial(ClientLink, self.clients, front)
-            self.listeners.append(await self.loop.create_server(make, host, port, backlog=1024))
+            end = _bound(host, port)
+            self.listeners.append(await self.loop.create_server(make, sock=end, backlog=AT_ONCE))
+            end.listen(WAITING)
 
     def _where(self, replica: int) -> tuple[tuple[str, int], ServerForm] | None:
         address = self.group.addresses.get(replica)
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -12,13 +12,14 @@
 from pearstall.net.core import Blamed, Broken, Carrier, Core, Declined, End, Execution, Query, Reach, Served
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadline, Deadlines
-from pearstall.net.events import EventSplitter
+from pearstall.net.events import LINES, EventSplitter
 from pearstall.net.http1 import Body, Head, Malformed, body_of, read_head
 from pearstall.net.pending import pending
 from pearstall.net.slots import Slots
 
 Address = tuple[str, int]
 LARGEST_BLAME = 64 * 1024
+MOST_AHEAD = 16  # 1xx answers before the one that counts
 
 
 class ServerForm(Protocol):
@@ -50,6 +51,8 @@
         self.body: Body | None = None
         self.splitter = EventSplitter()
         self.kept = 0
+        self.ahead = 0  # 1xx answers
+        self.passed = self.ended = False
         self.blame: list[bytes] = []  # the body of an error
         self.deadline: Deadline | None = None  # of the connect, then of being idle
 
@@ -62,7 +65,8 @@
         self.request = request
         self.head = self.body = None
         self.splitter = EventSplitter()
-        self.kept = 0
+        self.kept = self.ahead = 0
+        self.passed = self.ended = False
         self.blame = []
         self.written = False
         if self.transport is not None:
@@ -136,6 +140,11 @@
                 return
             if head.status >= 200:
                 self.head = head
+                continue
+            self.ahead += 1
+            if self.ahead > MOST_AHEAD:
+                self.fail("an answer that never begins")
+                return
         head = self.head
         if self.body is None:
             body = body_of(head)
@@ -147,6 +156,7 @@
         if isinstance(data, Malformed):
             self.fail(data.why)
             return
+        broken = self.body.spoilt  # behind what came whole
         streams = head.headers.get("content-type", "").lower().startswith("text/event-stream")
         if self.form.blames_query(head):
             self.blame.append(data)
@@ -165,29 +175,42 @@
                 self.fail(events.why)
                 return
             self._pass_on(events)
-        if self.body.done:
+            broken = broken or self.splitter.spoilt
+        if broken is not None:
+            self.fail(broken.why)
+        elif self.body.done:
             self._stream_end()
 
     def _pass_on(self, events: bytes) -> None:
         if events and self.execution is not None:
             kept = self.form.kept_tokens(events)
             self.kept = self.kept if kept is None else kept
+            self.passed = True
+            self.ended = events.rstrip().endswith(b"[DONE]")
             self.owner.core.passed(self.execution, events)
 
     def _stream_end(self) -> None:
-        if self.splitter.rest:
-            self._pass_on(self.splitter.rest)
-        self._done(Served(self.kept))
+        if rest := self.splitter.rest:
+            if not LINES.fullmatch(rest + b"\n"):
+                self.fail("an event that is none")
+                return
+            self._pass_on(rest)
+        if not self.passed:
+            self.fail("a stream without an event")
+        elif self.body is not None and self.body.until_close and not self.ended:
+            self.fail("the link ended before the stream")  # nothing else tells its end from a break
+        else:
+            self._done(Served(self.kept))
 
     def eof_received(self) -> bool:
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
         if not self.closed and error is None and self.body is not None and self.body.until_close:
-            self.head = self.head or Head()
             self.closed = True
-            self._stream_end()
-            self._drop()
+            if self.execution is not None:
+                self._stream_end()
+            self.close()
             return
         self.fail(f"the link ended{f': {error}' if error else ''}")
 
@@ -199,6 +222,7 @@
         clean = self.body is not None and self.body.done and self.written and not len(self.buffer)
         if clean and self.head is not None and self.head.keeps and not self.closed:
             self.pause(False)
+            self.buffer.rest()
             self.owner.free(self)
         else:
             self.close()
