Eject by success rate only where failures are more than chance explains

Seen: with spoilt answers from all servers alike (8% of them), 13 ejections by success_rate in 25 s: of thin volumes (6 outcomes an interval) some always lie under mean - 1.3 deviations. Router._sweep took any such. Now failures must also pass what the others' share gives by chance, by 2.5 deviations.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -54,6 +54,7 @@
 SUCCESS_RATE_REQUEST_VOLUME = 5
 SUCCESS_RATE_STDEV_FACTOR = 1300  # thousandths of a standard deviation
 SUCCESS_RATE_MINIMUM_FAILURES = 2  # one failure in a thin volume is no outlier
+SUCCESS_RATE_CHANCE = 2.5  # nor are failures within so many deviations of what the others' share gives by chance
 VOLUME_INTERVALS = 5  # counts under the volume are carried on for this many intervals
 SHARED_TIMEOUTS = 0.5  # above this share of time-outs over all replicas, time-outs single nobody out
 
@@ -912,8 +913,15 @@
             mean = sum(rate for _, rate, _ in judged) / len(judged)
             stdev = (sum((rate - mean) ** 2 for _, rate, _ in judged) / len(judged)) ** 0.5
             bar = mean - SUCCESS_RATE_STDEV_FACTOR / 1000 * stdev
+            volume = sum(replica.volume for replica, _, _ in judged)
+            failed = sum(failures for _, _, failures in judged)
             for replica, rate, failures in judged:
-                if rate < bar and failures >= SUCCESS_RATE_MINIMUM_FAILURES:
+                # Where failures come from all replicas alike, in thin volumes somebody is always under the bar.
+                n = replica.volume
+                share = (failed - failures) / max(1, volume - n)
+                by_chance = share * n + SUCCESS_RATE_CHANCE * (share * (1 - share) * n) ** 0.5
+                enough = max(SUCCESS_RATE_MINIMUM_FAILURES, by_chance)
+                if rate < bar and failures >= enough:
                     self._eject(replica, "success_rate")
         for replica in self.replicas.values():
             if replica.volume >= SUCCESS_RATE_REQUEST_VOLUME or replica.thin >= VOLUME_INTERVALS:
