--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -54,7 +54,7 @@
 SUCCESS_RATE_REQUEST_VOLUME = 5
 SUCCESS_RATE_STDEV_FACTOR = 1300  # thousandths of a standard deviation
 SUCCESS_RATE_MINIMUM_FAILURES = 2  # one failure in a thin volume is no outlier
-SUCCESS_RATE_CHANCE = 2.5  # nor are failures within so many deviations of what the others' share gives by chance
+SUCCESS_RATE_CHANCE = 2.5  # nor are so many deviations above what the others' share gives by chance
 VOLUME_INTERVALS = 5  # counts under the volume are carried on for this many intervals
 SHARED_TIMEOUTS = 0.5  # above this share of time-outs over all replicas, time-outs single nobody out
 
@@ -84,7 +84,7 @@
 QUICK_STEP = 0.05  # how far one sample moves the running median of quick first tokens
 QUICK_READING = 3.0  # a first token counts while what it reads takes so many median intercepts at most
 QUICK_GAP = 4.0  # where samples are rare, one moves the median so many times as far at most
-QUICK_MOST = 4.8  # and how high it goes, in the longest token aims; more than enough to shed all
+QUICK_MOST = 8.0  # and how high it goes, in the longest token aims; more than enough to shed all
 SHED_MOST = 0.9  # some always go, or nothing would tell that it got better
 OVER_SHARE = 1.5  # a tenant floods from this many times its share of recent requests on
 STANDING = 1.6  # how far worth for work moves the share shed, either way
@@ -916,7 +916,7 @@
             volume = sum(replica.volume for replica, _, _ in judged)
             failed = sum(failures for _, _, failures in judged)
             for replica, rate, failures in judged:
-                # Where failures come from all replicas alike, in thin volumes somebody is always under the bar.
+                # Where all replicas fail alike, in thin volumes somebody is always under the bar.
                 n = replica.volume
                 share = (failed - failures) / max(1, volume - n)
                 by_chance = share * n + SUCCESS_RATE_CHANCE * (share * (1 - share) * n) ** 0.5
--- a/tests/test_mechanism.py
+++ b/tests/test_mechanism.py
@@ -86,6 +86,19 @@
     assert "success_rate" in gateway.logs[-1]
 
 
+def test_failures_spread_over_all_replicas_eject_nobody_by_success_rate() -> None:
+    """Spoilt answers from all alike: in thin volumes some replica always lies under the bar by chance."""
+    gateway = Gateway(settings(), 6)
+    for bad in ((1, 2), (3, 4), (0, 5), (1, 3), (2, 2)):
+        for number in bad:
+            end(gateway, number, Result.ERROR)
+        for replica in gateway.router.replicas:
+            end(gateway, replica, Result.OK)
+    gateway.wait(2 * S)
+    gateway.serve()
+    assert not gateway.logs
+
+
 def test_success_rates_need_enough_hosts_and_volume() -> None:
     gateway = Gateway(settings(), 2)
     for _ in range(20):
