--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -36,6 +36,7 @@
 from pearstall.net.slots import Slots
 
 STALL = 4.0  # a stream without an event for so long has no server any more: a vanished machine says nothing
+DESERTED = 0.5  # without a query for so long, clients have gone elsewhere
 GUARD = 0.015  # past a query's deadline: the final answer is still on time here, should the Router owe one
 
 
@@ -182,6 +183,7 @@
         self.servers = servers
         self.queries: Slots[Query] = Slots()
         self.hurried = False
+        self.latest = 0.0  # when a query was taken last
         self.open_ids: set[str] = set()  # the clients' own, of the queries in the slots
         self.router = Router(settings, seed)
         self.events: deque[Event] = deque()
@@ -233,7 +235,7 @@
         """One final answer is owed from here on."""
         query.handle = handle = self.queries.add(query)
         self.counters.queries += 1
-        query.taken = self.clock()
+        query.taken = self.latest = self.clock()
         if query.txn:
             self.open_ids.add(query.txn)
         if self.hurried:
@@ -375,6 +377,17 @@
             execution.carrier.give_up()
         self.ended(execution, Broken(Reach.ANSWERING, "no event came"))
 
+    def move(self) -> None:
+        """Ends the streams under way, so that their clients ask for the rest at another router while there
+        is one. Where queries still come long after clients were asked off, there is none: they'd be back."""
+        if self.clock() - self.latest < DESERTED:
+            return
+        for query in self.queries:
+            if query.passed and not query.over:
+                self.counters.moved += 1
+                self._answer(query.handle, lambda answer: answer.cut())
+                self.tell(ClientGone(query.handle))
+
     def hurry(self, resumable: bool, late: float) -> None:
         """The program is about to be killed: whoever waits for a first event may ask elsewhere in time, and
         so may from now on whoever asks. Streams run on until the end, and many finish before it; only those
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -33,6 +33,7 @@
 QUIET = 0.5  # and the last one's query for less than this
 # A program asked to end may be killed once the longest deadline, but no more than 3 s, and 0.7 s are over.
 KILLED_AFTER = 3.0
+MOVE_AFTER = 2.75  # streams are handed on, where other routers take what comes
 LATE = 0.5  # what came so long after SIGTERM must be answered before the program is killed
 HASTE = 0.2  # past that deadline, what is still owed is ended, with half a second to spare
 
@@ -126,6 +127,8 @@
             self.deadlines.after(self.invite_after, self.clients.leave)
             longest = max(klass.give_up for klass in self.core.settings.classes) / 1e6
             resumable = self.config.names.family.resume
+            if resumable:
+                self.deadlines.after(MOVE_AFTER, self.core.move)
             hurry = partial(self.core.hurry, resumable, self.leaving_from + LATE)
             self.deadlines.after(min(longest, KILLED_AFTER) + HASTE, hurry)
             self._look()
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -158,6 +158,18 @@
     assert scene.said[5:] == ["close", "cut"] and not len(scene.core.queries)
 
 
+def test_streams_are_handed_on_only_where_queries_have_stopped_coming() -> None:
+    """With no other router in service, clients came back to this one for the rest, and were cut once more."""
+    scene = Scene()
+    scene.ask()
+    scene.core.passed(scene.out[0], b"one")
+    scene.core.move()
+    assert scene.said == ["send 0", "one"]
+    scene.clock.move(1.0)
+    scene.core.move()
+    assert scene.said[2:] == ["cut", "close"] and not len(scene.core.queries)
+
+
 @pytest.mark.parametrize("resumable", [False, True])
 def test_before_the_program_is_killed_what_waits_may_ask_elsewhere(resumable: bool) -> None:
     """A stream asked for early runs on: all were cut at once, and their clients came back as one crowd to the
