Add device sessions that outlive connections, on WebSocket, SSE and long polls

Need: a query lived and died with its TCP connection, so a phone that dropped between towers lost its answer, asked again, and the fleet read the same prompt twice.

The OpenAI-style front shares queries by Idempotency-Key and names every answer. `pearstall/lab` has stand-in servers, a link shaper and a ledger.

--- a/pearstall/__main__.py
+++ b/pearstall/__main__.py
@@ -1,4 +1,4 @@
-"""`python -m pearstall`: one real router."""
+"""`python -m pearstall`: one real router; with a word behind it, the command line."""
 
 from __future__ import annotations
 
@@ -11,13 +11,19 @@
 
 
 def main() -> int:
+    if len(sys.argv) > 1 and not sys.argv[1].startswith("-"):
+        from pearstall.cli.main import main as commands  # with its libraries; the platform needs neither
+
+        return commands()
     parser = argparse.ArgumentParser(prog="pearstall", description="A router for model servers.")
     parser.add_argument("--config", default="", help="the configuration; else what EDGE_CONFIG names")
-    parser.add_argument("--openai", default="", help="a file that says where the OpenAI-style front listens")
+    parser.add_argument("--operators", "--openai", default="", help="the operators' settings (KDL): further fronts")
     parser.add_argument("--inventory", default="", help="a CSV or YAML list of model servers, not discovery")
     given = parser.parse_args()
     try:
-        asyncio.run(run(read_config(openai=given.openai, inventory=given.inventory, config=given.config)))
+        asyncio.run(
+            run(read_config(operators=given.operators, inventory=given.inventory, config=given.config))
+        )
     except ConfigError as error:
         print(f"pearstall: {error}", file=sys.stderr)
         return 2
--- /dev/null
+++ b/pearstall/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Sub-commands: nothing but arguments, output and exit codes."""
--- /dev/null
+++ b/pearstall/config/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' settings: KDL documents, their schema, and what they mean."""
--- /dev/null
+++ b/pearstall/edge/attach.py
@@ -0,0 +1,66 @@
+"""Puts the edge beside the fronts of a program, where the operators' file opens it."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections.abc import Callable
+
+from pearstall.edge.http import HttpWire
+from pearstall.edge.idempotency import Sharer
+from pearstall.edge.link import EdgeLinks
+from pearstall.edge.service import Edge
+from pearstall.edge.settings import EdgeConfig
+from pearstall.edge.tokens import Keyring
+from pearstall.logs import make_note
+from pearstall.net.client_link import ClientLinks
+from pearstall.net.config import Config, OpenAIConfig
+from pearstall.net.core import Core
+
+
+class EdgeSide:
+    """The sessions, for the edge's wires where it is open, and for idempotency keys of the other front."""
+
+    def __init__(self, config: Config, core: Core, clients: ClientLinks) -> None:
+        assert config.operators is not None
+        log = config.operators.log
+        for warning in config.operators.warnings:
+            print(f"pearstall: {warning}", file=sys.stderr, flush=True)
+        self.note = make_note(log.form, log.level, log.flood)
+        self.listen = config.edge.listen if config.edge is not None else None
+        self.edge = Edge(
+            config.edge or closed(config.openai), config.names, core, core.deadlines, self.note, config.seed
+        )
+        self.links = EdgeLinks(self.edge, HttpWire)
+        clients.share = Sharer(self.edge)
+
+    def listeners(self) -> dict[tuple[str, int], Callable[[], asyncio.BaseProtocol]]:
+        return {self.listen: self.links} if self.listen is not None else {}
+
+    def ready(self) -> None:
+        self.edge.front.ready = True
+
+    def reload(self, config: Config) -> None:
+        ready = self.edge.front.ready
+        self.edge.reload(config.edge or closed(config.openai))
+        self.edge.front.ready = ready
+
+    def leave(self) -> None:
+        self.edge.leave()
+
+    @property
+    def settled(self) -> bool:
+        return self.edge.settled
+
+    def close(self) -> None:
+        self.edge.close()
+        self.links.close()
+
+    def line(self) -> str:
+        return "edge " + json.dumps(self.edge.state() | {"links": len(self.links.links)})
+
+
+def closed(asks: OpenAIConfig | None) -> EdgeConfig:
+    """Sessions without a wire: only idempotency keys use them."""
+    return EdgeConfig(listen=("", 0), keyring=Keyring(), asks=asks or OpenAIConfig(listen=""))
--- /dev/null
+++ b/pearstall/lab/poor_links.py
@@ -0,0 +1,183 @@
+"""The operators' convincing run: devices on shaped links that reconnect and change wire at random.
+
+Each device asks through a shaper of its own class of link, abandons connections as a phone between towers does
+(the edge is not told: the relay keeps its side open), comes back on a wire drawn anew, cancels now and then, and now
+and then sends an ask again as if it had never been taken. A ledger then holds everyone to account.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+from pearstall.edge.client import WIRES, DeviceClient, Held, Told
+from pearstall.edge.records import Final
+from pearstall.lab.ledger import Breach, Ledger
+from pearstall.lab.rig import Rig, installation
+from pearstall.lab.servers import Behaviour
+from pearstall.lab.shaper import PROFILES, Shaper
+
+FAULTS = {"serve": 0.8, "error": 0.04, "away": 0.04, "reset": 0.04, "silent": 0.02, "break": 0.04, "stall": 0.02}
+EDGE = """
+linger "{linger}s"
+drain "2s"
+keep ended="120s" tombstones="300s"
+limits { device rate=200 burst=200 running=8; arrivals rate=5000 burst=2000; }
+keep-alive least="500ms" most="2s"
+poll longest="5s"
+"""
+
+
+@dataclass(slots=True)
+class Report:
+    seed: int
+    devices: int
+    asks: int
+    breaches: list[Breach] = field(default_factory=list)
+    kinds: dict[str, int] = field(default_factory=dict)
+    attempts: int = 0
+    abandoned: int = 0
+    superseded: int = 0
+    wire_changes: int = 0
+    by_wire: dict[str, int] = field(default_factory=dict)
+    link_ends: dict[str, int] = field(default_factory=dict)
+    executions: int = 0
+    events: int = 0
+    waits: list[float] = field(default_factory=list)  # seconds from asking to holding the final record
+    repeated: int = 0  # final records that came again
+    seconds: float = 0.0
+    exceptions: int = 0
+    overdue: int = 0
+    left: dict[str, int] = field(default_factory=dict)  # what the edge still holds, once all is acknowledged
+
+    def as_dict(self) -> dict[str, Any]:
+        out = {name: getattr(self, name) for name in self.__dataclass_fields__ if name != "waits"}
+        out["breaches"] = [str(one) for one in self.breaches]
+        waits = sorted(self.waits)
+        if waits:
+            out["wait_s"] = {
+                f"p{part}": round(waits[min(len(waits) - 1, len(waits) * part // 100)], 3) for part in (50, 90, 99)
+            }
+        return out
+
+
+class _Phone:
+    """One device's run."""
+
+    def __init__(self, name: str, client: DeviceClient, random: Random, ledger: Ledger, report: Report) -> None:
+        self.name, self.client, self.random, self.ledger, self.report = name, client, random, ledger, report
+
+    async def ask(self, id: str, patience: float) -> None:
+        random, report = self.random, self.report
+        content = f"{self.name} {id} " + "x" * random.randint(0, 200)
+        body = {"model": "toy", "messages": [{"role": "user", "content": content}]}
+        held = Held(id, body, random.choice(("", "", "agent")), 5.0)
+        self.ledger.asked(self.name, held)
+        began, before, pause = time.monotonic(), "", 0.02
+        cancels = random.random() < 0.04
+        async with asyncio.timeout(patience):
+            while True:
+                wire = random.choice(WIRES)
+                report.attempts += 1
+                report.by_wire[wire] = report.by_wire.get(wire, 0) + 1
+                report.wire_changes += bool(before) and wire != before
+                before = wire
+                if held.known and not held.events and random.random() < 0.2:
+                    held.known = False  # its acceptance was lost: the ask goes out again, the same
+                leave = random.expovariate(1 / 0.3) if random.random() < 0.4 else patience
+                told: Told | None = Told("abandoned")
+                try:
+                    async with asyncio.timeout(leave):
+                        told = await self.client.attempt(wire, held)
+                except TimeoutError:
+                    report.abandoned += 1
+                if told is None:
+                    break
+                if told.code not in ("superseded", "dropped", "abandoned", "storm", "busy", "device_concurrency"):
+                    held.breaches.append(f"told {told.code}: {told.detail}")
+                    break
+                if cancels and held.known and held.final is None and random.random() < 0.5:
+                    cancels = False
+                    await self._cancel(held)
+                await asyncio.sleep(told.retry_after or random.uniform(0, pause))
+                pause = min(0.5, pause * 2)
+        report.waits.append(time.monotonic() - began)
+
+    async def _cancel(self, held: Held) -> None:
+        """The record that stands is told: the same that comes by every wire afterwards."""
+        try:
+            final = await self.client.cancel(held)
+        except (OSError, EOFError, TimeoutError):
+            return
+        except Exception as error:  # the client library's own, of a link that was cut
+            if type(error).__module__.split(".")[0] not in ("httpx", "httpcore"):
+                raise
+            return
+        if isinstance(final, Final) and held.final is not None and held.final != final:
+            held.breaches.append(f"cancel told {final}, and {held.final} was held")
+
+
+async def run(
+    devices: int = 60, asks: int = 1000, seed: int = 1, at_once: int = 2, linger: float = 20.0,
+    progress: Callable[[int], object] = lambda done: None, patience: float = 120.0,
+) -> tuple[Report, Ledger]:  # fmt: skip
+    report = Report(seed, devices, asks)
+    began = time.monotonic()
+    async with AsyncExitStack() as stack:
+        behaviours = [Behaviour(ways=FAULTS, stall=5.0) for _ in range(4)]
+        rig: Rig = await stack.enter_async_context(
+            installation(behaviours, seed, EDGE.replace("{linger}", f"{linger:g}"))
+        )
+        ledger = Ledger(rig.books)
+        rig.edge.note = rig.edge.sessions.note = ledger.note
+        shapers = {}
+        for name, profile in PROFILES.items():
+            shaper = Shaper(rig.ports["edge"], profile, seed)
+            shapers[name] = await stack.enter_async_context(shaper.listening())
+        done = 0
+
+        async def device(number: int) -> None:
+            nonlocal done
+            random = Random(f"{seed}/device/{number}")
+            name = f"d{number}"
+            port = random.choices(list(shapers.values()), (1, 3, 1))[0].port
+            phone = _Phone(name, rig.device(name, port, patience=2.0), random, ledger, report)
+            room = asyncio.Semaphore(at_once)
+
+            async def one(id: str) -> None:
+                nonlocal done
+                async with room:
+                    await phone.ask(id, patience)
+                done += 1
+                progress(done)
+
+            mine = [f"a{ask}" for ask in range(number, asks, devices)]
+            for result in await asyncio.gather(*map(one, mine), return_exceptions=True):
+                if isinstance(result, BaseException):
+                    report.breaches.append(Breach(name, "?", "run", f"{type(result).__name__}: {result}"))
+
+        await asyncio.gather(*(device(number) for number in range(devices)))
+        report.breaches += ledger.check()
+        report.superseded = ledger.events["superseded"]
+        report.kinds = dict(ledger.kinds())
+        report.executions = sum(len(entry.executions) for entry in ledger.entries.values())
+        report.events = sum(len(entry.held.events) for entry in ledger.entries.values())
+        report.repeated = sum(entry.held.finals - 1 for entry in ledger.entries.values() if entry.held.finals)
+        report.link_ends = {
+            how: sum(shaper.ends.get(how, 0) for shaper in shapers.values()) for how in ("cut", "close", "silent")
+        }
+        counters = rig.program.counters
+        report.exceptions, report.overdue = counters.exceptions, counters.overdue
+        await asyncio.sleep(0.1)
+        held = rig.edge.sessions.held
+        report.left = {
+            "running": rig.edge.sessions.running, "bytes": held.bytes, "queries": len(rig.program.core.queries),
+            "running_away": held.running_away,
+        }  # fmt: skip
+    report.seconds = round(time.monotonic() - began, 2)
+    return report, ledger
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -14,7 +14,7 @@
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadline
 from pearstall.net.http1 import LAST_CHUNK, Body, Head, Malformed, Reply, body_of, chunk, read_head
-from pearstall.net.pending import pending
+from pearstall.net.pending import end_sending, pending
 from pearstall.net.slots import Slots
 
 LARGEST_BODY = 256 * 1024
@@ -36,6 +36,9 @@
 
     def read(self, head: Head, body: bytes, came: float, answer: ClientLink) -> Query | Reply: ...
 
+    def names_answer(self, head: Head | None) -> str:
+        """A header line for every answer, or nothing."""
+
     def malformed(self, why: Malformed) -> Reply: ...
 
     def refused(self, retry_after: int) -> Reply: ...
@@ -46,6 +49,14 @@
         """The answer where the client wanted no stream."""
 
 
+class Holder(Protocol):
+    """Who holds a link's query: the core, or what stands between the two."""
+
+    def client_gone(self, handle: int) -> None: ...
+
+    def pause(self, handle: int, paused: bool) -> None: ...
+
+
 class ClientLink(asyncio.BufferedProtocol):
     def __init__(self, owner: ClientLinks, front: Front) -> None:
         self.owner = owner
@@ -59,6 +70,7 @@
         self.size = 0
         self.came = 0.0
         self.query: Query | None = None  # the one under way
+        self.holder: Holder = owner.core
         self.busy = False
         self.begun = False
         self.gathered: list[bytes] = []
@@ -87,7 +99,7 @@
         self._drop_parts()
         if self.busy and self.query is not None:
             self.busy = False
-            self.owner.core.client_gone(self.query.handle)
+            self.holder.client_gone(self.query.handle)
         self.closing = True
 
     def eof_received(self) -> bool:
@@ -203,6 +215,11 @@
             self._reply(direct)
             return
         query = self.front.read(head, body, self.came, self)
+        shared = self.owner.share(self, head, body) if self.owner.share is not None else None
+        if shared is not None and isinstance(query, Query):
+            self._begin(query)
+            shared(query)
+            return
         if isinstance(query, Query) and query.txn in self.owner.core.open_ids:
             # Under one id two queries would be two copies of one to the model servers.
             query = self.front.malformed(Malformed("another query with this id is open", 409))
@@ -210,13 +227,16 @@
             self.owner.counters.malformed += 1
             self._reply(query)
             return
+        self._begin(query)
+        self.owner.core.take(query)
+
+    def _begin(self, query: Query) -> None:
         self.begun = False
         self.gathered, self.gathered_size = [], 0
         self.busy = True
         self.carried += 1
         query.answer = self
         self.query = query
-        self.owner.core.take(query)
 
     def _bad(self, why: Malformed) -> None:
         self.owner.counters.malformed += 1
@@ -244,6 +264,8 @@
                 lines.append("Transfer-Encoding: chunked")
             else:
                 self.keeps = False  # HTTP/1.0 knows no chunks: the end of the link is the end of the stream
+            if name := self.front.names_answer(self.head):
+                lines.append(name)
             if self._last():
                 lines.append("Connection: close")
             out = "\r\n".join([*lines, "", ""]).encode() + out
@@ -288,11 +310,16 @@
             self.keeps = False
         return not self.keeps
 
+    def answer(self, reply: Reply) -> None:
+        """A final answer that another than the core gives."""
+        if self.busy:
+            self._reply(reply)
+
     def _reply(self, reply: Reply, last: bool = False) -> None:
         self.keeps = self.keeps and not last
         if self.head is not None and self.head.method == "HEAD":
             reply = Reply(reply.status, b"", reply.headers)  # bytes after its head would be the next answer's
-        self._write(reply.encode(self._last()))
+        self._write(reply.encode(self._last(), self.front.names_answer(self.head)))
         self._next()
 
     def _write(self, data: bytes) -> None:
@@ -305,6 +332,7 @@
         self.came = 0.0
         self.gathered = []
         self.query = None
+        self.holder = self.owner.core
         self._drop_parts()
         self.owner.rests(self)
         if not self.keeps:
@@ -323,7 +351,7 @@
         self.closing = True
         self.buffer.skip(len(self.buffer))
         if self.transport is not None and not self.transport.is_closing():
-            self.transport.write_eof()
+            end_sending(self.transport)
             self._wait(LINGER, self.abort)
 
     def close(self) -> None:
@@ -338,11 +366,11 @@
 
     def pause_writing(self) -> None:
         if self.query is not None:
-            self.owner.core.pause(self.query.handle, True)
+            self.holder.pause(self.query.handle, True)
 
     def resume_writing(self) -> None:
         if self.query is not None:
-            self.owner.core.pause(self.query.handle, False)
+            self.holder.pause(self.query.handle, False)
 
 
 def print_error(error: Exception) -> None:
@@ -364,6 +392,8 @@
         self.resting: dict[ClientLink, None] = {}
         self.leaving = False
         self.latest = 0.0  # when a link was accepted last
+        # Whether a query is to be shared with others of the same key, and how; see edge/idempotency.py.
+        self.share: Callable[[ClientLink, Head, bytes], Callable[[Query], None] | None] | None = None
 
     def accepted(self, link: ClientLink) -> None:
         self.counters.client_links += 1
--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import os
-import tomllib
 from collections.abc import Mapping
 from dataclasses import replace
 from pathlib import Path
-from typing import Annotated, Any, TypeVar
+from typing import TYPE_CHECKING, Annotated, TypeVar
 
 import msgspec
 
@@ -15,6 +14,10 @@
 from pearstall.net.inventory import HostList, read_host_list
 from pearstall.settings import settings_from_wire
 
+if TYPE_CHECKING:  # the platform's `run` has no such file, and imports none of this
+    from pearstall.config.operators import Operators
+    from pearstall.edge.settings import EdgeConfig
+
 T = TypeVar("T")
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 
@@ -65,6 +68,7 @@
     classes: dict[str, str] = {}  # model -> class
     deadline_s: dict[str, Positive] = {}  # class -> wait for the first token; else the class's give-up time
     tenants: dict[str, str] = {}  # API key -> tenant
+    idempotency: bool = True  # an Idempotency-Key is answered once, through the device sessions
     server_form: str = "platform"
     server_forms: dict[str, str] = {}  # host type -> form, where it is another
 
@@ -83,7 +87,7 @@
     """Where a configuration was read, for reading it again."""
 
     env: dict[str, str] = {}
-    openai: str = ""
+    operators: str = ""
     inventory: str = ""
     config: str = ""
 
@@ -99,10 +103,15 @@
     names: Names
     openai: OpenAIConfig | None = None
     openai_listen: tuple[str, int] | None = None
+    operators: Operators | None = None  # where a file of the operators is named
     inventory: Path | None = None
     said: str = ""  # where its file says that discovery is; the environment may have said otherwise
     source: Source = msgspec.field(default_factory=lambda: Source())
 
+    @property
+    def edge(self) -> EdgeConfig | None:
+        return self.operators.edge if self.operators is not None else None
+
 
 def address(text: str, what: str) -> tuple[str, int]:
     host, colon, port = text.strip().rpartition(":")
@@ -113,7 +122,7 @@
 
 
 def read_config(
-    env: Mapping[str, str] = os.environ, openai: str = "", inventory: str = "", config: str = ""
+    env: Mapping[str, str] = os.environ, operators: str = "", inventory: str = "", config: str = ""
 ) -> Config:
     raw = _decode(_read(config or env.get("EDGE_CONFIG", ""), "EDGE_CONFIG"), Raw, "configuration")
     try:
@@ -130,9 +139,9 @@
     except ValueError:
         raise ConfigError(f"seed: a number is wanted, not {raw.seed!r}") from None
     known = read_host_list(bytes(raw.known)) if bytes(raw.known) != b"null" else HostList()
-    second = read_openai(openai, names) if openai else None
-    second = second if second and second.enabled else None
-    if not listen and second is None:
+    own = _operators(operators, names) if operators else None
+    second = own.openai if own is not None and own.openai is not None and own.openai.enabled else None
+    if not listen and second is None and (own is None or own.edge is None):
         raise ConfigError("listen: missing")
     if not discovery and not inventory:
         raise ConfigError("discovery: missing, and no inventory is named")
@@ -147,9 +156,10 @@
         names=names,
         openai=second,
         openai_listen=address(second.listen, "openai listen") if second else None,
+        operators=own,
         inventory=Path(inventory) if inventory else None,
         said=raw.discovery,
-        source=Source(dict(env), openai, inventory, config),
+        source=Source(dict(env), operators, inventory, config),
     )
 
 
@@ -157,27 +167,30 @@
     """The same files once more. The environment is as old as the process: where the file names another
     discovery than before, that goes before what the environment said, now and from then on."""
     source = held.source
-    found = read_config(source.env, source.openai, source.inventory, source.config)
+    found = read_config(source.env, source.operators, source.inventory, source.config)
     if found.said != held.said:
         env = {key: value for key, value in source.env.items() if key != "EDGE_DISCOVERY"}
-        found = read_config(env, source.openai, source.inventory, source.config)
+        found = read_config(env, source.operators, source.inventory, source.config)
     return found
 
 
-def read_openai(path: str, names: Names) -> OpenAIConfig:
+def _operators(path: str, names: Names) -> Operators:
     try:
-        table: dict[str, Any] = tomllib.loads(_read(path, "openai").decode())
-        config = msgspec.convert(table, OpenAIConfig)
-    except (ValueError, msgspec.ValidationError) as error:
-        raise ConfigError(f"{path}: {_one_line(error)}") from None
-    lanes = {lane.name for lane in names.lanes}
-    for name in [*config.classes.values(), *config.deadline_s, config.default_class]:
-        if name and name not in lanes:
-            raise ConfigError(f"{path}: no class is named {name!r}")
-    for form in (config.server_form, *config.server_forms.values()):
-        if form not in ("openai", "platform"):
-            raise ConfigError(f"{path}: a server's form is openai or platform, not {form!r}")
-    return config
+        from pearstall.config.kdl import Unreadable
+        from pearstall.config.operators import read_operators
+    except ModuleNotFoundError as error:
+        raise ConfigError(f"{path}: {error.name} is not installed: see requirements-edge.txt") from None
+    try:
+        found = read_operators(path)
+        troubles = found.check(names)
+        if troubles:
+            raise Unreadable(troubles)
+    except Unreadable as error:
+        more = len(error.troubles) - 1
+        raise ConfigError(
+            f"{error.troubles[0]}" + (f" (and {more} more: `pearstall check` lists them)" if more else "")
+        ) from None
+    return found
 
 
 def _read(path: str, what: str) -> bytes:
--- a/pearstall/net/http1.py
+++ b/pearstall/net/http1.py
@@ -70,12 +70,15 @@
     headers: dict[str, str] = field(default_factory=dict)
     content_type: str = "application/json"
 
-    def encode(self, close: bool) -> bytes:
+    def encode(self, close: bool, name: str = "") -> bytes:
+        """`name`: a header line that names the answer, or nothing."""
         lines = [f"HTTP/1.1 {self.status} {REASONS.get(self.status, 'Status')}"]
         if self.body:
             lines.append(f"Content-Type: {self.content_type}")
         lines += [f"{name}: {value}" for name, value in self.headers.items()]
         lines.append(f"Content-Length: {len(self.body)}")
+        if name:
+            lines.append(name)
         if close:
             lines.append("Connection: close")
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + self.body
--- a/pearstall/net/openai.py
+++ b/pearstall/net/openai.py
@@ -126,6 +126,11 @@
             streams=streams,
         )
 
+    def names_answer(self, head: Head | None) -> str:
+        """Every answer carries the id of its request: the client's own, else one made here."""
+        given = head.headers.get("x-request-id", "") if head is not None else ""
+        return f"X-Request-Id: {given or uuid.uuid4().hex}"
+
     def malformed(self, why: Malformed) -> Reply:
         return invalid(why.why, why.status)
 
--- a/pearstall/net/pending.py
+++ b/pearstall/net/pending.py
@@ -1,4 +1,4 @@
-"""Whether something has come on a connection that its protocol has not been given yet."""
+"""What asyncio does not tell of a connection: whether something unread waits on it, and that it has gone."""
 
 from __future__ import annotations
 
@@ -15,3 +15,12 @@
     poll = select.poll()
     poll.register(end.fileno(), select.POLLIN)
     return bool(poll.poll(0))
+
+
+def end_sending(transport: asyncio.Transport) -> None:
+    """Half closes. Where the other side has reset the connection already, the socket says so here, before the
+    loop has read it; such a link is just ended, and no exception reaches whoever gave the answer."""
+    try:
+        transport.write_eof()
+    except OSError:
+        transport.abort()
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -101,6 +101,9 @@
             tenant=self.tenants.get(headers.get("x-org", ""), len(self.tenants)),
         )
 
+    def names_answer(self, head: Head | None) -> str:
+        return ""
+
     def malformed(self, why: Malformed) -> Reply:
         return Reply(why.status, why.why.encode() + b"\n", {}, "text/plain")
 
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -6,8 +6,9 @@
 import signal
 import socket
 import sys
+from collections.abc import Callable
 from functools import partial
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from pearstall.interface import ListKind
 from pearstall.net.client_link import ClientLink, ClientLinks, print_error
@@ -20,6 +21,9 @@
 from pearstall.net.platform import PlatformFront, PlatformServer
 from pearstall.net.server_link import ServerForm, ServerLinks
 
+if TYPE_CHECKING:
+    from pearstall.edge.attach import EdgeSide
+
 IDLE_PART = 0.7  # of the time after which a model server closes an idle link
 SPARE_SOCKETS = 64  # listeners, the watch, files, and links that are accepted before others are closed
 WAITING = 1024  # links that the system holds until they are accepted
@@ -87,10 +91,16 @@
             self.fronts[config.openai_listen] = OpenAIFront(config.openai, config.names, config.settings)
         self.form: ServerForm = PlatformServer()
         self.forms: dict[str, ServerForm] = {}
-        if config.openai is not None:
+        forms = config.openai or (config.edge.asks if config.edge is not None else None)
+        if forms is not None:
             known: dict[str, ServerForm] = {"platform": self.form, "openai": OpenAIServer()}
-            self.form = known[config.openai.server_form]
-            self.forms = {kind: known[form] for kind, form in config.openai.server_forms.items()}
+            self.form = known[forms.server_form]
+            self.forms = {kind: known[form] for kind, form in forms.server_forms.items()}
+        self.edge: EdgeSide | None = None
+        if config.operators is not None:
+            from pearstall.edge.attach import EdgeSide  # the platform's `run` names no such file
+
+            self.edge = EdgeSide(config, self.core, self.clients)
         self.listeners: list[asyncio.Server] = []
         self.ended = asyncio.Event()
         self.leaving_from = 0.0
@@ -103,8 +113,12 @@
             self.group.take(self.config.known, ListKind.CACHED)
         if self.config.inventory is not None:
             self.group.load(self.config.inventory)
-        for (host, port), front in self.fronts.items():
-            make = partial(ClientLink, self.clients, front)
+        makers: dict[tuple[str, int], Callable[[], asyncio.BaseProtocol]] = {
+            place: partial(ClientLink, self.clients, front) for place, front in self.fronts.items()
+        }
+        if self.edge is not None:
+            makers |= self.edge.listeners()
+        for (host, port), make in makers.items():
             end = _bound(host, port)
             self.listeners.append(await self.loop.create_server(make, sock=end, backlog=AT_ONCE))
             end.listen(WAITING)
@@ -119,12 +133,16 @@
         if self.group.addresses:
             for front in self.fronts.values():
                 front.ready = True
+            if self.edge is not None:
+                self.edge.ready()
 
     def leave(self) -> None:
         """Asked to end: what was taken is answered first, and what still comes meanwhile."""
         if not self.leaving_from:
             self.leaving_from = self.loop.time()
             self.deadlines.after(self.invite_after, self.clients.leave)
+            if self.edge is not None:
+                self.edge.leave()
             longest = max(klass.give_up for klass in self.core.settings.classes) / 1e6
             resumable = self.config.names.family.resume
             if resumable:
@@ -137,7 +155,8 @@
         now = self.loop.time()
         stayed = now - self.leaving_from >= STAY and now - self.clients.latest >= QUIET
         reading = any(not link.idle and not link.closing for link in self.clients.links)
-        if stayed and not len(self.core.queries) and not reading:
+        settled = self.edge is None or self.edge.settled
+        if stayed and not len(self.core.queries) and not reading and settled:
             self.ended.set()
         else:
             self.deadlines.after(0.05, self._look)
@@ -147,6 +166,8 @@
             listener.close()
         for link in self.clients.links:
             link.close()
+        if self.edge is not None:
+            self.edge.close()
         await asyncio.sleep(0.02)  # what was written last is on its way
         self.group.subscribe(False)
         self.servers.close()
@@ -160,6 +181,8 @@
 
     def print_counters(self) -> None:
         print(self.counters.line(), file=sys.stderr, flush=True)
+        if self.edge is not None:
+            print(self.edge.line(), file=sys.stderr, flush=True)
 
     def reload(self) -> None:
         """Reads the configuration again, under load. What can't be read changes nothing."""
@@ -173,6 +196,8 @@
             self.config = found
             self.clients.most, self.servers.most = shares(found.limits.sockets)
             self.group.follow(found.discovery)
+            if self.edge is not None:
+                self.edge.reload(found)
         if self.config.inventory is not None:
             self.group.load(self.config.inventory)
 
