Run the real routers in virtual time, with engines, faults, experiments and reports

Need: nobody could say what happens at sizes no machine here serves, or what one constant of choice.py changes; tests that need time had to sleep.

The product takes its listeners, calendar and ids from what surrounds it (serve.Surroundings). Event streams of the edge no longer set a timer for each event.

--- a/pearstall/edge/attach.py
+++ b/pearstall/edge/attach.py
@@ -22,7 +22,7 @@
 class EdgeSide:
     """The sessions, for the edge's wires where it is open, and for idempotency keys of the other front."""
 
-    def __init__(self, config: Config, core: Core, clients: ClientLinks) -> None:
+    def __init__(self, config: Config, core: Core, clients: ClientLinks, now: Callable[[], float]) -> None:
         assert config.operators is not None
         log = config.operators.log
         for warning in config.operators.warnings:
@@ -30,7 +30,7 @@
         self.note = make_note(log.form, log.level, log.flood)
         self.listen = config.edge.listen if config.edge is not None else None
         self.edge = Edge(
-            config.edge or closed(config.openai), config.names, core, core.deadlines, self.note, config.seed
+            config.edge or closed(config.openai), config.names, core, core.deadlines, self.note, config.seed, now
         )
         self.links = EdgeLinks(self.edge, HttpWire)
         clients.share = Sharer(self.edge)
--- a/pearstall/edge/http.py
+++ b/pearstall/edge/http.py
@@ -338,6 +338,7 @@
         self.ask: Ask | None = None
         self.at = 0
         self.done = False
+        self.latest = self.edge.deadlines.clock.time()  # when something was written last
 
     def attached(self, ask: Ask, last: int) -> None:
         self.ask, self.at = ask, last
@@ -364,7 +365,7 @@
             self.at = final.number
             self._end(sse_final(final))
         elif wrote:
-            self._quiet()
+            self.latest = self.edge.deadlines.clock.time()
 
     def writable(self) -> None:
         if self.ask is not None and not self.done:
@@ -381,12 +382,12 @@
 
     def _quiet(self) -> None:
         """A comment now and then: a link on which nothing at all comes can't be told from a dead one."""
-        self.link.wait(self.edge.config.keep_alive.least, self._comment)
-
-    def _comment(self) -> None:
-        if not self.link.full:
+        quiet = self.edge.deadlines.clock.time() - self.latest
+        least = self.edge.config.keep_alive.least
+        if quiet >= least and not self.link.full:
             self.link.write(chunk(b":\n\n"))
-        self._quiet()
+            quiet = 0.0
+        self.link.wait(max(0.05, least - quiet), self._quiet)
 
     def _end(self, last: bytes) -> None:
         self.done = True
--- a/pearstall/edge/websocket.py
+++ b/pearstall/edge/websocket.py
@@ -70,9 +70,7 @@
             return CloseReason.PROTOCOL_ERROR if rsv.rsv1 else RsvBits(True, False, False)
         return super().frame_inbound_header(proto, opcode, rsv, payload_length)
 
-    def frame_inbound_payload_data(
-        self, proto: FrameDecoder | FrameProtocol, data: bytes
-    ) -> bytes | CloseReason:
+    def frame_inbound_payload_data(self, proto: FrameDecoder | FrameProtocol, data: bytes) -> bytes | CloseReason:
         if self.control or not self._inbound_compressed or self._decompressor is None:
             return data
         try:
@@ -81,9 +79,7 @@
             return CloseReason.INVALID_FRAME_PAYLOAD_DATA
         return CloseReason.MESSAGE_TOO_BIG if self._decompressor.unconsumed_tail else out
 
-    def frame_inbound_complete(
-        self, proto: FrameDecoder | FrameProtocol, fin: bool
-    ) -> bytes | CloseReason | None:
+    def frame_inbound_complete(self, proto: FrameDecoder | FrameProtocol, fin: bool) -> bytes | CloseReason | None:
         return None if self.control else super().frame_inbound_complete(proto, fin)
 
 
--- /dev/null
+++ b/pearstall/lab/scenarios.py
@@ -0,0 +1,184 @@
+"""Scenarios as KDL files: topology, load, faults, product settings, and what to vary.
+
+    scenario "platform-day" seconds=40
+    world routers=4 servers=20 zones=1
+    load "60/s + burst(3x, every 20s, for 3s)"
+    class "chat" aim="1s" give-up="3s" prompt=400 wanted=100
+    engine slots=16 queue=32
+    fault "slow" at="10s" lasts="10s" share=0.15 factor=4
+    variant "no-ejection" { constant "MAX_EJECTION_PERCENT" 0; }
+
+The first variant is the scenario as it stands, called `base`.
+"""
+
+from __future__ import annotations
+
+import math
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pearstall.config.kdl import Place, Trouble, Unreadable, read
+from pearstall.config.schema import Shape, Values, duration, fit, flag, number, one_of, text, whole
+from pearstall.lab.rates import BadRate, Rate, most, parse_rate
+from pearstall.lab.world import FAULTS, Fault, Klass, Scenario
+
+ENGINE = {
+    "slots": whole(1, 4096), "queue": whole(0, 100_000), "chunk": whole(16), "step": duration(1e-5, 10),
+    "per-prompt": number(0, 1), "per-sequence": number(0, 1), "per-context": number(0, 1), "block": whole(1, 4096),
+    "blocks": whole(8), "reuse": flag, "cancel-stops": flag, "cold-time": duration(0, 3600),
+    "cold-share": number(0.001, 1), "emit": whole(1, 1024),
+}  # fmt: skip
+CHANGES = {
+    "constant": Shape(args=(text, number(-1e12, 1e12)), many=True),
+    "setting": Shape(args=(text, number(-1e12, 1e12)), many=True),
+    "engine": Shape(props=ENGINE),
+    "load": Shape(args=(text,)),
+}
+SHAPES = {
+    "scenario": Shape(args=(text,), props={"seconds": duration(1, 86400)}),
+    "world": Shape(
+        props={
+            "routers": whole(1, 2000), "servers": whole(1, 50_000), "zones": whole(1, 64), "latency": duration(0, 5),
+            "jitter": duration(0, 5), "cross-latency": duration(0, 5), "list-lag": duration(0, 600),
+            "tenants": whole(1, 1000), "slowest": number(0.05, 10), "fastest": number(0.05, 10),
+            "sockets": whole(64, 1_000_000),
+        }
+    ),
+    "clients": Shape(
+        props={"retries": whole(0, 20), "honour-advice": number(0, 1), "notice-after": duration(0, 60)}
+    ),
+    "class": Shape(
+        args=(text,),
+        props={
+            "aim": duration(0.01, 600), "give-up": duration(0.01, 600), "late-share": number(0, 1),
+            "value": number(0, 1e6), "share": number(0, 1e6), "prompt": whole(1), "shared": whole(0),
+            "wanted": whole(1), "turns": number(0, 1000), "think": duration(0.01, 3600),
+        },
+        many=True,
+    ),
+    "fault": Shape(
+        args=(one_of(*FAULTS),),
+        props={"at": duration(0), "lasts": duration(0), "share": number(0, 1), "count": whole(0), 
+               "factor": number(0.01), "zone": text},
+        required=frozenset({"at"}),
+        many=True,
+    ),
+    **CHANGES,
+    "variant": Shape(args=(text,), children=CHANGES, many=True),
+}  # fmt: skip
+SETTABLE = ("tick", "maxAttempts", "maxRetryAfter", "mustAskIn")
+
+
+class Variant(msgspec.Struct):
+    name: str
+    scenario: Scenario
+
+
+class Plan(msgspec.Struct):
+    """A scenario and what is compared with it."""
+
+    path: str
+    variants: list[Variant]
+
+    @property
+    def base(self) -> Scenario:
+        return self.variants[0].scenario
+
+    def named(self, name: str) -> Scenario:
+        for variant in self.variants:
+            if variant.name == name:
+                return variant.scenario
+        raise KeyError(name)
+
+
+def read_plan(path: str) -> Plan:
+    """An Unreadable names every trouble, with its place."""
+    troubles: list[Trouble] = []
+    found = fit(SHAPES, read(Path(path)), path, troubles)
+    if "load" not in found:
+        troubles.append(Trouble(path, Place(1, 1), 'load is missing: an expression as in "60/s" is wanted'))
+    base = Scenario(name=Path(path).stem)
+    if not troubles:
+        _fill(base, found, path, troubles)
+    plan = Plan(path, [Variant("base", base)])
+    for one in found.get("variant", []):
+        if troubles or not one.args:
+            break
+        if any(one.args[0] == other.name for other in plan.variants):
+            troubles.append(Trouble(path, one.node.place, f"a variant {one.args[0]!r} is there already"))
+            continue
+        changed = msgspec.structs.replace(base, settings=dict(base.settings), constants=dict(base.constants))
+        _change(changed, one.children, path, troubles)
+        plan.variants.append(Variant(one.args[0], changed))
+    if troubles:
+        raise Unreadable(sorted(troubles, key=lambda one: (one.place.line, one.place.column)))
+    return plan
+
+
+def _under(props: dict[str, Any]) -> dict[str, Any]:
+    return {key.replace("-", "_"): value for key, value in props.items()}
+
+
+def _fill(out: Scenario, found: dict[str, list[Values]], path: str, troubles: list[Trouble]) -> None:
+    for one in found.get("scenario", []):
+        out.name = one.args[0] if one.args else out.name
+        out.seconds = one.props.get("seconds", out.seconds)
+    for one in found.get("world", []):
+        props = _under(one.props)
+        out.speeds = (props.pop("slowest", out.speeds[0]), props.pop("fastest", out.speeds[1]))
+        for key, value in props.items():
+            setattr(out, key, value)
+    for one in found.get("clients", []):
+        names = {"retries": "retries", "honour-advice": "honours_advice", "notice-after": "notices_after"}
+        for key, value in one.props.items():
+            setattr(out, names[key], value)
+    classes = [Klass(name=one.args[0], **_under(one.props)) for one in found.get("class", [])]
+    if classes:
+        out.classes = classes
+    out.faults = [Fault(kind=one.args[0], **_under(one.props)) for one in found.get("fault", [])]
+    _change(out, found, path, troubles)
+
+
+def _change(out: Scenario, found: dict[str, list[Values]], path: str, troubles: list[Trouble]) -> None:
+    from pearstall import choice
+
+    for one in found.get("load", []):
+        try:
+            out.rate = parse_rate(one.args[0], Path(path).parent)
+            out.most_rate = max(0.001, most(out.rate, out.seconds))
+        except BadRate as error:
+            troubles.append(Trouble(path, one.node.place, f"load: {error}"))
+    for one in found.get("engine", []):
+        out.engine = msgspec.structs.replace(out.engine, **_under(one.props))
+    for one in found.get("constant", []):
+        name, value = one.args
+        if not isinstance(vars(choice).get(name), int | float) or isinstance(vars(choice).get(name), bool):
+            troubles.append(Trouble(path, one.node.place, f"choice.py has no constant {name}"))
+        out.constants[name] = value
+    for one in found.get("setting", []):
+        name, value = one.args
+        if name not in SETTABLE:
+            troubles.append(Trouble(path, one.node.place, f"no setting {name} here; there is {', '.join(SETTABLE)}"))
+        out.settings[name] = value
+
+
+def cost(scenario: Scenario, per_second: float = 25_000.0) -> dict[str, float]:
+    """What a run will come to, before it runs: asks, callbacks of the loop and seconds of one core.
+
+    `per_second`: callbacks a core does a second; measured by `benchmarks/laboratory.py`."""
+    asks = sum(scenario.rate(n * 0.1) for n in range(int(scenario.seconds * 10))) * 0.1
+    turns = 1 + sum(klass.share * klass.turns for klass in scenario.classes) / sum(k.share for k in scenario.classes)
+    asks *= turns
+    wanted = sum(k.share * k.wanted for k in scenario.classes) / sum(k.share for k in scenario.classes)
+    steps = scenario.seconds / 0.02 * min(scenario.servers, max(1.0, asks / scenario.seconds * wanted * 0.02))
+    callbacks = asks * (14 + 3 * wanted / scenario.engine.emit) + steps
+    watches = scenario.routers * scenario.seconds / 2
+    callbacks += watches
+    return {"asks": math.ceil(asks), "callbacks": math.ceil(callbacks), "core_seconds": callbacks / per_second}
+
+
+def describe(rate: Rate, seconds: float) -> str:
+    values = [rate(n * seconds / 200) for n in range(200)]
+    return f"{min(values):.0f} to {max(values):.0f} asks a second, {sum(values) / 200:.0f} on average"
--- a/pearstall/lab/shaper.py
+++ b/pearstall/lab/shaper.py
@@ -48,7 +48,14 @@
     delay=(0.005, 0.03), jitter=0.005, bandwidth=250_000, loss=0.01, cut=0.25, close=0.05, silent=0.1, vanish=0.5
 )
 TUNNEL = Profile(
-    delay=(0.02, 0.08), jitter=0.02, bandwidth=60_000, loss=0.05, cut=0.4, close=0.1, silent=0.2, after=(0, 3000),
+    delay=(0.02, 0.08),
+    jitter=0.02,
+    bandwidth=60_000,
+    loss=0.05,
+    cut=0.4,
+    close=0.1,
+    silent=0.2,
+    after=(0, 3000),
     vanish=0.7,
 )
 PROFILES = {"good": GOOD, "mobile": MOBILE, "tunnel": TUNNEL}
--- /dev/null
+++ b/pearstall/lab/world.py
@@ -0,0 +1,747 @@
+"""A world in virtual time: real routers, engines, discovery, clients, faults; every rule checked as it goes.
+
+`play` runs one scenario from one seed. The routers are the product's `Program`, unmodified, each on a host of its
+own. All draws come from named streams of the seed, so that a change of one thing (a variant's setting) leaves the
+load, the faults and the links what they were, and runs can be compared seed by seed.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import heapq
+import io
+import math
+import time
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import msgspec
+from blake3 import blake3
+
+from pearstall.lab.clock import VirtualLoop, run
+from pearstall.lab.engine import EngineSettings
+from pearstall.lab.network import Network, Path, be
+from pearstall.lab.stations import Answer, Ask, ClientEnd, Discovery, ModelServer
+from pearstall.net.config import Config, Limits, Names
+from pearstall.net.inventory import HostList
+from pearstall.net.serve import Program, Surroundings
+from pearstall.settings import settings_from_wire
+
+PORT, DISCOVERY = 7070, ("discovery", 8500)
+DRAIN_LIMIT = 0.5  # seconds from the news to the last send
+LATE = 0.05
+MOST_EXECUTIONS = 3
+BIN = 1.0  # seconds of the series
+
+
+class Klass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A class of requests. Seconds; tokens. `share` of the load."""
+
+    name: str
+    aim: float = 1.0
+    give_up: float = 3.0
+    late_share: float = 0.5
+    value: float = 1.0
+    share: float = 1.0
+    prompt: int = 400  # of a turn's own text, on average
+    shared: int = 600  # of the beginning that sessions share
+    wanted: int = 100
+    turns: float = 3.0  # of a session, on average
+    think: float = 4.0
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`kind` at `at`, for `lasts` seconds, on `share` of its kind of thing (or `count` of them)."""
+
+    kind: str
+    at: float
+    lasts: float = 10.0
+    share: float = 0.0
+    count: int = 0
+    factor: float = 4.0
+    zone: str = ""
+
+
+FAULTS = {
+    "errors": "servers answer 500 at once",
+    "silent": "servers take requests and answer nothing",
+    "stalls": "servers stop in mid-stream",
+    "garbles": "servers break their streams with noise",
+    "slow": "servers take `factor` times as long",
+    "hang": "engines stop stepping, then go on",
+    "lost": "machines vanish: nothing reaches them, and nobody is told",
+    "replace": "servers drain, go, and come back cold, one after the other over `lasts`",
+    "partition": "zones don't reach each other",
+    "kill-router": "routers are killed and start anew after `lasts`",
+    "term-router": "routers get SIGTERM, are killed 3.7 s later and start anew",
+    "list-silent": "discovery's watch says nothing",
+    "list-down": "discovery drops watches and takes none",
+    "list-lag": "changes of the list are told `factor` seconds late",
+}
+
+
+class Scenario(msgspec.Struct, forbid_unknown_fields=True):
+    """Everything about a run but its seed. `rate(t)`: asks a second, for the whole world."""
+
+    name: str = "scenario"
+    seconds: float = 40.0
+    routers: int = 4
+    servers: int = 20
+    zones: int = 1
+    rate: Callable[[float], float] = lambda t: 60.0
+    most_rate: float = 60.0
+    classes: list[Klass] = msgspec.field(default_factory=lambda: [Klass("chat")])
+    tenants: int = 1
+    engine: EngineSettings = EngineSettings()
+    speeds: tuple[float, float] = (0.9, 1.1)  # of servers, drawn from
+    faults: list[Fault] = []
+    latency: float = 0.0005
+    jitter: float = 0.0002
+    cross_latency: float = 0.002
+    list_lag: float = 0.05
+    retries: int = 2  # of a client
+    honours_advice: float = 1.0  # the share of clients that wait as they are told
+    notices_after: float = 1.0  # a front takes a dead router out after so long
+    settings: dict[str, Any] = {}  # over the platform's
+    constants: dict[str, float] = {}  # of choice.py, for the length of a run
+    sockets: int = 1024
+
+
+@dataclass(slots=True)
+class Result:
+    """What a run came to."""
+
+    scenario: str
+    seed: int
+    digest: str = ""
+    worth: float = 0.0  # served, of the worth asked for
+    asked: int = 0
+    kinds: dict[str, int] = field(default_factory=dict)
+    breaches: list[str] = field(default_factory=list)
+    by_class: dict[str, float] = field(default_factory=dict)
+    by_tenant: dict[str, float] = field(default_factory=dict)
+    first: dict[str, list[float]] = field(default_factory=dict)  # class -> waits for the first token
+    series: dict[str, list[float]] = field(default_factory=dict)  # a value a BIN
+    executions: int = 0
+    tries: int = 0
+    made: int = 0
+    wasted: int = 0
+    prompt_read: int = 0
+    prompt_reused: int = 0
+    turned_away: int = 0
+    ejections: list[tuple[float, int, str]] = field(default_factory=list)  # when, by which router, which server
+    sick: list[tuple[float, float, str]] = field(default_factory=list)  # from, to, which server
+    loads: list[float] = field(default_factory=list)  # busy share of each server
+    events: int = 0  # callbacks of the loop
+    steps: int = 0
+    real_seconds: float = 0.0
+    seconds: float = 0.0
+    counters: dict[str, int] = field(default_factory=dict)
+
+
+class _Around(Surroundings):
+    def __init__(self, loop: VirtualLoop, random: Random) -> None:
+        self.loop, self.random = loop, random
+
+    async def listen(self, make: Any, host: str, port: int) -> Any:
+        return await self.loop.create_server(make, host, port)
+
+    def now(self) -> float:
+        return self.loop.wall()
+
+    def make_id(self) -> str:
+        return f"{self.random.getrandbits(64):016x}"
+
+
+class World:
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario, self.seed = scenario, seed
+        loop = asyncio.get_running_loop()
+        assert isinstance(loop, VirtualLoop)
+        self.loop = loop
+        self.begin = loop.time()
+        self.network = Network(loop, seed, self._path)
+        self.result = Result(scenario.name, seed)
+        self.hash = blake3()
+        self.discovery = Discovery(DISCOVERY, scenario.list_lag)
+        self.zone_names = [f"z{n}" for n in range(scenario.zones)]
+        self.servers: dict[str, ModelServer] = {}
+        self.names: dict[int, str] = {}  # the routers' number of a server -> its name
+        self.routers: list[Router] = []
+        self.asks = 0
+        self.open = 0
+        self.out: dict[str, tuple[ModelServer, Any]] = {}
+        self.executions: dict[str, int] = {}
+        self.drained: dict[str, float] = {}  # server -> when the news of its drain was out
+        self.bins = math.ceil(scenario.seconds / BIN) + 1
+        self.sums = {key: [0.0] * self.bins for key in ("asked", "worth", "tries", "refused", "executions")}
+        self.prefixes = 24
+        self.worths = _Lists()  # class -> the part of its worth that each ask earned
+        self.tenants = _Lists()
+
+    def stream(self, name: str) -> Random:
+        """Random numbers of their own for each thing."""
+        return Random(f"{self.seed}/{name}")
+
+    def _zone_of(self, host: str) -> str:
+        return self.network.zones.get(host, "")
+
+    def _path(self, here: str, there: str) -> Path:
+        scenario = self.scenario
+        cross = self._zone_of(here) != self._zone_of(there)
+        return Path(scenario.cross_latency if cross else scenario.latency, scenario.jitter)
+
+    def note(self, *what: Any) -> None:
+        """One line of the run, in its digest."""
+        self.hash.update(repr((round(self.loop.now, 9), *what)).encode())
+
+    def breach(self, what: str) -> None:
+        self.result.breaches.append(f"seed {self.seed}, {self.loop.now - self.begin:.3f} s: {what}")
+
+    # -- building ------------------------------------------------------------------------------------------
+
+    async def build(self) -> None:
+        from pearstall.net.platform import number_of
+
+        scenario, random = self.scenario, self.stream("servers")
+        be(DISCOVERY[0])
+        await self.discovery.start()
+        for number in range(scenario.servers):
+            name = f"s{number}"
+            server = await self.place(name, self.zone_names[number % scenario.zones], cold=False)
+            server.engine.speed = random.uniform(*scenario.speeds)
+            self.names[number_of(name)] = name
+            self.discovery.rows[name] = server.row()
+        for number in range(scenario.routers):
+            router = Router(self, number)
+            self.routers.append(router)
+            await router.start()
+
+    async def place(self, name: str, zone: str, cold: bool) -> ModelServer:
+        self.network.zones[name] = zone
+        since = self.loop.wall() if cold else 0.0
+        server = ModelServer(name, (name, 9000), self.scenario.engine, zone, since=since)
+        server.seen = self.seen
+        self.servers[name] = server
+        be(name)
+        await server.start()
+        return server
+
+    # -- the rules -----------------------------------------------------------------------------------------
+
+    def seen(self, txn: str, server: ModelServer) -> None:
+        """An execution arrived whole at a server."""
+        self.note("run", txn, server.name)
+        count = self.executions[txn] = self.executions.get(txn, 0) + 1
+        self._add("executions", 1)
+        if count > MOST_EXECUTIONS:
+            self.breach(f"{txn}: {count} executions")
+        before = self.out.get(txn)
+        if before is not None:
+            link = before[1]
+            mine = link.transport if before[0].out.get(txn) is link else None  # None: it was answered
+            if not (mine is None or mine.closed or mine.peer.closed):
+                self.breach(f"{txn}: at {server.name} while out at {before[0].name}")
+        self.out[txn] = (server, server.out[txn])
+        told = self.drained.get(server.name)
+        if server.status == "draining" and told is not None and self.loop.now > told + DRAIN_LIMIT + LATE:
+            self.breach(f"{txn}: sent to {server.name}, {self.loop.now - told:.3f} s after its drain was told")
+
+    def _add(self, key: str, value: float, at: float | None = None) -> None:
+        bin = int(((self.loop.now if at is None else at) - self.begin) / BIN)
+        if bin < self.bins:
+            self.sums[key][bin] += value
+
+    # -- the load ------------------------------------------------------------------------------------------
+
+    async def load(self) -> None:
+        """Arrivals by thinning (Lewis and Shedler 1979); they don't wait for answers."""
+        scenario, random = self.scenario, self.stream("load")
+        most = scenario.most_rate
+        weights = [klass.share for klass in scenario.classes]
+        end = self.begin + scenario.seconds
+        turns: list[tuple[float, int, Ask, int]] = []
+        now = self.begin
+        while True:
+            now += random.expovariate(most)
+            while turns and turns[0][0] <= min(now, end):
+                due, _, last, left = heapq.heappop(turns)
+                await self._until(due)
+                self._begin(self._next_turn(last, random), random, turns, left)
+            if now >= end:
+                return
+            if random.random() * most > scenario.rate(now - self.begin):
+                continue
+            await self._until(now)
+            number = random.choices(range(len(weights)), weights)[0]
+            klass = scenario.classes[number]
+            prefix = f"p{number}.{int(random.paretovariate(1.2)) % self.prefixes}"
+            self.asks += 1
+            own = max(16, int(random.lognormvariate(math.log(klass.prompt), 0.6)))
+            wanted = max(4, int(random.lognormvariate(math.log(klass.wanted), 0.5)))
+            ask = Ask(
+                self.asks, number, random.randrange(scenario.tenants), f"e{self.asks}",
+                [(prefix, klass.shared), (f"t{self.asks}", own)], wanted,
+                self.loop.now, self.loop.now + klass.give_up,
+            )  # fmt: skip
+            left = int(random.expovariate(1 / klass.turns)) if klass.turns else 0
+            self._begin(ask, random, turns, left)
+
+    def _begin(self, ask: Ask, random: Random, turns: list[tuple[float, int, Ask, int]], left: int) -> None:
+        klass = self.scenario.classes[ask.klass]
+        if left > 0:
+            due = self.loop.now + klass.wanted * 0.02 + random.expovariate(1 / klass.think)
+            heapq.heappush(turns, (due, ask.number, ask, left - 1))
+        self.open += 1
+        self._add("asked", klass.value)
+        self.result.asked += 1
+        task = self.loop.create_task(self._client(ask, random.random() < self.scenario.honours_advice))
+        task.add_done_callback(self._client_done)
+
+    def _next_turn(self, last: Ask, random: Random) -> Ask:
+        """A turn's prompt begins with all of the turn before it."""
+        klass = self.scenario.classes[last.klass]
+        self.asks += 1
+        own = max(16, int(random.lognormvariate(math.log(klass.prompt), 0.6)))
+        wanted = max(4, int(random.lognormvariate(math.log(klass.wanted), 0.5)))
+        return Ask(
+            self.asks, last.klass, last.tenant, last.session, [*last.segments, (f"t{self.asks}", own)], wanted,
+            self.loop.now, self.loop.now + klass.give_up,
+        )  # fmt: skip
+
+    def _client_done(self, task: asyncio.Task[None]) -> None:
+        self.open -= 1
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.breach(f"a client ended with {type(error).__name__}: {error}")
+
+    async def _until(self, when: float) -> None:
+        if when > self.loop.now:
+            await asyncio.sleep(when - self.loop.now)
+
+    async def _client(self, ask: Ask, honours: bool) -> None:
+        """All tries of one ask: what its user gets is the best that they make of it."""
+        be("clients")
+        klass = self.scenario.classes[ask.klass]
+        pause = 0.05
+        for number in range(self.scenario.retries + 1):
+            left = ask.deadline - self.loop.now
+            if left <= 0.01:
+                break
+            router = self._front(ask, number)
+            if router is None:
+                ask.tries.append(Answer("lost", 0.0, self.loop.now))
+                await asyncio.sleep(min(0.2, left))
+                continue
+            self._add("tries", 1)
+            txn = f"{ask.number}.{number}"
+            answer = await router.ask(self._request(ask, txn, left), left)
+            ask.tries.append(answer)
+            self.note("got", txn, answer.kind, answer.tokens, round(answer.first, 9))
+            self.executions.pop(txn, None)
+            self.out.pop(txn, None)
+            self._check(ask, txn, answer, left)
+            if answer.kind == "served" or answer.first:
+                break
+            if answer.kind == "refused":
+                self._add("refused", 1)
+                wait = answer.retry_after if honours and answer.retry_after else pause
+            else:
+                wait = pause if answer.kind == "lost" else 0.0
+            pause = min(1.0, pause * 2)
+            if ask.deadline - self.loop.now <= wait:
+                break
+            await asyncio.sleep(wait)
+        self._score(ask, klass)
+
+    def _front(self, ask: Ask, number: int) -> Router | None:
+        """Deals clients out among routers in service, another one for each try."""
+        there = [router for router in self.routers if router.in_service(self.loop.now)]
+        if not there:
+            return None
+        return there[(ask.number * 2654435761 + number * 7919) % len(there)]
+
+    def _request(self, ask: Ask, txn: str, left: float) -> bytes:
+        klass = self.scenario.classes[ask.klass]
+        body = msgspec.json.encode(
+            {"model": klass.name, "stream": True, "work": {"segments": ask.segments, "wanted": ask.wanted}}
+        )
+        prefix, length = ask.segments[0]
+        return (
+            f"POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nX-Txn: {txn}\r\nX-Lane: {klass.name}\r\n"
+            f"X-Org: t{ask.tenant}\r\nX-Entity: {ask.session}\r\nX-Remaining: {left:.6f}\r\n"
+            f"X-Labels: prefix={prefix},prefix_len={length},prompt_len={ask.prompt}\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+
+    def _check(self, ask: Ask, txn: str, answer: Answer, left: float) -> None:
+        when = answer.first or answer.last
+        if answer.kind in ("refused", "failed", "served", "cut") and when > ask.deadline + LATE + 0.01:
+            self.breach(f"{txn}: {answer.kind} {when - ask.deadline:.3f} s past its deadline")
+        if answer.kind == "served" and answer.tokens != ask.wanted:
+            self.breach(f"{txn}: {answer.tokens} tokens of {ask.wanted} in an answer told whole")
+
+    def _score(self, ask: Ask, klass: Klass) -> None:
+        result = self.result
+        last = ask.tries[-1] if ask.tries else Answer("lost")
+        result.tries += len(ask.tries)
+        result.kinds[last.kind] = result.kinds.get(last.kind, 0) + 1
+        part = 0.0
+        if last.kind == "served":
+            wait = last.first - ask.at
+            result.first.setdefault(klass.name, []).append(wait)
+            part = 1.0 if wait <= klass.aim else klass.late_share if wait <= klass.give_up else 0.0
+        self._add("worth", part * klass.value, ask.at)
+        self.worths[klass.name].append(part)
+        self.tenants[f"t{ask.tenant}"].append(part)
+
+    # -- faults --------------------------------------------------------------------------------------------
+
+    async def faults(self) -> None:
+        for number, fault in enumerate(self.scenario.faults):
+            self.loop.create_task(self._fault(fault, self.stream(f"fault{number}")))
+
+    def _chosen(self, fault: Fault, random: Random) -> list[str]:
+        names = [name for name, one in self.servers.items() if not fault.zone or one.zone == fault.zone]
+        count = fault.count or round(fault.share * len(names))
+        return sorted(random.sample(names, min(len(names), max(1, count))))
+
+    async def _fault(self, fault: Fault, random: Random) -> None:
+        await self._until(self.begin + fault.at)
+        kind = fault.kind
+        self.note("fault", kind)
+        if kind in ("errors", "silent", "stalls", "garbles", "slow", "hang", "lost"):
+            await self._sick(fault, self._chosen(fault, random))
+        elif kind == "replace":
+            await self._replace(fault, self._chosen(fault, random))
+        elif kind == "partition":
+            pairs = {(a, b) for a in self.zone_names for b in self.zone_names if a != b}
+            if fault.zone:
+                pairs = {pair for pair in pairs if fault.zone in pair}
+            self.network.zone_walls |= pairs
+            await asyncio.sleep(fault.lasts)
+            self.network.zone_walls -= pairs
+        elif kind in ("kill-router", "term-router"):
+            count = fault.count or max(1, round(fault.share * len(self.routers)))
+            for router in random.sample(self.routers, min(count, len(self.routers))):
+                self.loop.create_task(router.restart(kind == "term-router", fault.lasts))
+        elif kind == "list-silent":
+            self.discovery.silent = True
+            await asyncio.sleep(fault.lasts)
+            self.discovery.silent = False
+        elif kind == "list-down":
+            self.discovery.up = False
+            self.discovery.restart()
+            await asyncio.sleep(fault.lasts)
+            self.discovery.up = True
+        elif kind == "list-lag":
+            before, self.discovery.lag = self.discovery.lag, fault.factor
+            await asyncio.sleep(fault.lasts)
+            self.discovery.lag = before
+
+    async def _sick(self, fault: Fault, names: list[str]) -> None:
+        chosen = [self.servers[name] for name in names]
+        since = self.loop.now - self.begin
+        for server in chosen:
+            if fault.kind == "slow":
+                server.engine.speed /= fault.factor
+            elif fault.kind == "hang":
+                server.engine.hung = True
+            elif fault.kind == "lost":
+                self.network.dark.add(server.name)
+            else:
+                server.fault = fault.kind
+        await asyncio.sleep(fault.lasts)
+        for server in chosen:
+            if fault.kind == "slow":
+                server.engine.speed *= fault.factor
+            elif fault.kind == "hang":
+                server.engine.resume()
+            elif fault.kind == "lost":
+                self.network.wake(server.name)
+            else:
+                server.fault = ""
+            self.result.sick.append((since, self.loop.now - self.begin, server.name))
+
+    async def _replace(self, fault: Fault, names: list[str]) -> None:
+        """A release of the servers: each drains for 2 s, is gone for 1 s, and comes back cold."""
+        gap = fault.lasts / len(names)
+
+        async def one(name: str) -> None:
+            server = self.servers[name]
+            server.status = "draining"
+            self.discovery.put(server.row())
+            self.drained[name] = self.loop.now + self.discovery.lag + self.scenario.cross_latency
+            await asyncio.sleep(0.5)
+            server.engine.draining = True
+            await asyncio.sleep(1.5)
+            server.status = "gone"
+            self.discovery.put(server.row())
+            server.stop()
+            self.network.kill(name)
+            self.drained.pop(name, None)
+            await asyncio.sleep(1.0)
+            speed = server.engine.speed
+            fresh = await self.place(name, server.zone, cold=True)
+            fresh.engine.speed = speed
+            _carry(server, fresh)
+            self.discovery.put(fresh.row())
+
+        for name in names:
+            self.loop.create_task(one(name))
+            await asyncio.sleep(gap)
+
+    # -- the end -------------------------------------------------------------------------------------------
+
+    def finish(self) -> Result:
+        result = self.result
+        result.series = dict(self.sums)
+        worths, tenants = self.worths, self.tenants
+        values: dict[str, float] = {klass.name: klass.value for klass in self.scenario.classes}
+        asked = sum(values[name] * len(parts) for name, parts in worths.items())
+        result.worth = sum(values[name] * sum(parts) for name, parts in worths.items()) / asked if asked else 0.0
+        result.by_class = {name: sum(parts) / len(parts) for name, parts in sorted(worths.items())}
+        result.by_tenant = {name: sum(parts) / len(parts) for name, parts in sorted(tenants.items())}
+        elapsed = self.loop.now - self.begin
+        for server in self.servers.values():
+            counters = server.engine.counters
+            result.made += counters.made
+            result.wasted += counters.wasted
+            result.prompt_read += counters.prompt_tokens
+            result.prompt_reused += counters.reused_tokens
+            result.turned_away += counters.turned_away
+            result.steps += counters.steps
+            result.loads.append(counters.busy / elapsed)
+        total: Counter[str] = Counter()
+        for router in self.routers:
+            total.update(router.total())
+        result.counters = dict(total)
+        result.executions = total["executions"]
+        if total["exceptions"]:
+            self.breach(f"{total['exceptions']} exceptions stopped at a connection")
+        if total["overdue"]:
+            self.breach(f"{total['overdue']} answers were overdue")
+        result.events = self.loop.number
+        result.digest = self.hash.hexdigest(16)
+        result.seconds = elapsed
+        return result
+
+
+class _Lists(dict[str, list[float]]):
+    def __missing__(self, key: str) -> list[float]:
+        made = self[key] = []
+        return made
+
+
+def _carry(old: ModelServer, new: ModelServer) -> None:
+    """The books of a server go on when it is replaced."""
+    new.engine.counters = old.engine.counters
+    new.requests = old.requests
+
+
+class Router:
+    """One router of the world, its clients' connections, and its restarts."""
+
+    def __init__(self, world: World, number: int) -> None:
+        self.world, self.number = world, number
+        self.host = f"r{number}"
+        self.program: Program | None = None
+        self.idle: list[ClientEnd] = []
+        self.up_from = 0.0
+        self.dead_from = math.inf
+        self.starts = 0
+        self.past: Counter[str] = Counter()
+        world.network.zones[self.host] = world.zone_names[number % len(world.zone_names)]
+
+    def in_service(self, now: float) -> bool:
+        return self.up_from <= now < self.dead_from + self.world.scenario.notices_after
+
+    async def start(self) -> None:
+        world = self.world
+        be(self.host)
+        seed = world.stream(f"{self.host}/{self.starts}").getrandbits(64)
+        self.starts += 1
+        program = self.program = Program(config_of(world, self, seed), _Around(world.loop, Random(seed)))
+        await program.start()
+        self.up_from, self.dead_from = world.loop.now + 0.05, math.inf
+        be("world")
+
+    def total(self) -> Counter[str]:
+        out = Counter(self.past)
+        if self.program is not None:
+            out.update(_counted(self.program))
+        return out
+
+    async def ask(self, data: bytes, patience: float) -> Answer:
+        world = self.world
+        while self.idle:
+            end = self.idle.pop()
+            if not end.gone:
+                break
+        else:
+            try:
+                async with asyncio.timeout(patience):
+                    _, end = await world.network.connect(ClientEnd, (self.host, PORT), "clients")
+            except (OSError, TimeoutError):
+                return Answer("lost", 0.0, world.loop.now)
+        waiting = end.ask(data)
+        limit = world.loop.call_later(patience + 0.2, _give_up, end)
+        answer = await waiting
+        limit.cancel()
+        if end.begun and answer.kind == "cut" and not end.gone and end.transport is not None:
+            end.transport.abort()
+        if not end.gone:
+            self.idle.append(end)
+        return answer
+
+    async def restart(self, politely: bool, lasts: float) -> None:
+        world, program = self.world, self.program
+        if program is None:
+            return
+        world.note("restart", self.host)
+        if politely:
+            program.leave()
+            self.dead_from = world.loop.now - world.scenario.notices_after + 0.3
+            await asyncio.sleep(3.7)
+        else:
+            self.dead_from = world.loop.now
+        self.past.update(_counted(program))
+        self.program = None
+        world.network.kill(self.host)
+        _silence(program)
+        self.idle.clear()
+        await asyncio.sleep(lasts)
+        await self.start()
+
+
+def _give_up(end: ClientEnd) -> None:
+    """A client waits for its first token only so long."""
+    if not end.begun and end.transport is not None:
+        end.transport.abort()
+
+
+def _counted(program: Program) -> dict[str, int]:
+    counters = program.counters
+    names = ("queries", "executions", "served", "refused", "failed", "broken", "moved", "clients_gone", "overdue",
+             "exceptions", "server_links", "server_links_reused", "crowded_out", "logs")  # fmt: skip
+    out = {name: getattr(counters, name) for name in names}
+    return out | {f"outcome_{name}": count for name, count in counters.outcomes.items()}
+
+
+def _silence(program: Program) -> None:
+    """A killed process has no timers any more."""
+    if program.deadlines.armed is not None:
+        program.deadlines.armed.cancel()
+    program.deadlines.heap.clear()
+    program.deadlines.armed_at = -math.inf  # what is asked for from now on is never armed
+    program.core.watch = lambda on: None
+    program.group.watch = None
+
+
+def config_of(world: World, router: Router, seed: int) -> Config:
+    scenario = world.scenario
+    lanes = [
+        {"name": klass.name, "aim": int(klass.aim * 1e6), "hardLimit": int(klass.give_up * 1e6),
+         "lateShare": klass.late_share, "value": klass.value, "effect": "pure"}
+        for klass in scenario.classes
+    ]  # fmt: skip
+    engine = scenario.engine
+    raw: dict[str, Any] = {
+        "lanes": lanes,
+        "accounts": [{"name": f"t{n}", "share": 1 / scenario.tenants} for n in range(scenario.tenants)],
+        "dcs": world.zone_names, "models": ["m1"], "tick": 4000, "membershipMode": "subscribe",
+        "limits": {"maxAttempts": 3, "mayCancel": True, "retryAfter": True, "maxRetryAfter": 2_000_000,
+                   "connIdle": 30_000_000, "connectTimeout": 250_000},
+        "obligations": {"mustAskIn": 1_000_000, "cold": int(engine.cold_time * 1e6), "coldShare": engine.cold_share,
+                        "tipMultiple": 3.0},
+    }  # fmt: skip
+    data = msgspec.json.encode(raw | scenario.settings)
+    return Config(
+        name=router.host,
+        listen=(router.host, PORT),
+        discovery=DISCOVERY,
+        seed=seed,
+        limits=Limits(sockets=scenario.sockets),
+        known=HostList(),
+        settings=settings_from_wire(data),
+        names=msgspec.json.decode(data, type=Names),
+    )
+
+
+@contextlib.contextmanager
+def constants(changes: dict[str, float]) -> Any:
+    """Constants of choice.py, changed for the length of a run; a KeyError names one that isn't there."""
+    from pearstall import choice
+
+    before = {}
+    for name, value in changes.items():
+        before[name] = vars(choice)[name]
+        setattr(choice, name, type(before[name])(value))
+    try:
+        yield
+    finally:
+        for name, value in before.items():
+            setattr(choice, name, value)
+
+
+def play(
+    scenario: Scenario, seed: int, progress: Callable[[float], object] | None = None,
+    watch: Callable[[World], object] | None = None,
+) -> Result:  # fmt: skip
+    """One run. The product's log lines go nowhere; ejections are read off them."""
+    began = time.perf_counter()
+
+    async def main() -> Result:
+        world = World(scenario, seed)
+        await world.build()
+        await asyncio.sleep(0.2)
+        world.begin = world.loop.time()
+        await world.faults()
+
+        async def tell() -> None:
+            while True:
+                await asyncio.sleep(1.0)
+                if progress is not None:
+                    progress((world.loop.now - world.begin) / scenario.seconds)
+                if watch is not None:
+                    watch(world)
+
+        if progress is not None or watch is not None:
+            world.loop.create_task(tell())
+        await world.load()
+        longest = max(klass.give_up for klass in scenario.classes)
+        last = world.loop.now + 20 * longest
+        while world.open and world.loop.now < last:
+            await asyncio.sleep(0.05)
+        if world.open:
+            world.breach(f"{world.open} clients still wait, {20 * longest:.0f} s after the last ask")
+        return world.finish()
+
+    lines = _Ejections()
+    with constants(scenario.constants), contextlib.redirect_stderr(lines):
+        loop = VirtualLoop()
+        lines.loop = loop
+        result = run(main(), loop)
+    from pearstall.net.platform import number_of
+
+    names = {number_of(f"s{n}"): f"s{n}" for n in range(scenario.servers)}
+    result.ejections = [(at, 0, names.get(id, "?")) for at, id in lines.found]
+    result.real_seconds = time.perf_counter() - began
+    return result
+
+
+class _Ejections(io.StringIO):
+    """Standard error of the routers: which servers they ejected, and when."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.found: list[tuple[float, int]] = []
+        self.loop: VirtualLoop | None = None
+
+    def write(self, text: str) -> int:
+        if text.startswith("eject replica ") and self.loop is not None:
+            self.found.append((self.loop.now, int(text.split(" ")[2])))
+        return len(text)
--- a/pearstall/net/host_group.py
+++ b/pearstall/net/host_group.py
@@ -23,7 +23,15 @@
 
 
 class HostGroup:
-    def __init__(self, core: Core, names: Names, discovery: tuple[str, int] | None) -> None:
+    """`now`: Unix time, in seconds; only the difference to the core's clock is taken from it, once."""
+
+    def __init__(
+        self,
+        core: Core,
+        names: Names,
+        discovery: tuple[str, int] | None,
+        now: Callable[[], float] = time.time,
+    ) -> None:
         self.core = core
         self.discovery = discovery
         self.zones = {name: number for number, name in enumerate(names.dcs)}
@@ -32,7 +40,7 @@
         self.types: dict[int, str] = {}
         self.index = -1
         # One offset for the whole run: a start told twice must come out as the same time both times.
-        self.offset = core.clock() - time.time()
+        self.offset = core.clock() - now()
         self.watch: WatchLink | None = None
         self.told: Callable[[], None] = lambda: None
 
--- a/pearstall/net/openai.py
+++ b/pearstall/net/openai.py
@@ -5,6 +5,7 @@
 import math
 import time
 import uuid
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -46,8 +47,17 @@
 
 
 class OpenAIFront:
-    def __init__(self, config: OpenAIConfig, names: Names, settings: Settings) -> None:
+    """`make_id`: names an answer whose request had no id."""
+
+    def __init__(
+        self,
+        config: OpenAIConfig,
+        names: Names,
+        settings: Settings,
+        make_id: Callable[[], str] = lambda: uuid.uuid4().hex,
+    ) -> None:
         self.config = config
+        self.make_id = make_id
         self.lanes = {lane.name: number for number, lane in enumerate(names.lanes)}
         self.tenants = {account.name: number for number, account in enumerate(names.accounts)}
         self.lane_names = [lane.name for lane in names.lanes]
@@ -129,7 +139,7 @@
     def names_answer(self, head: Head | None) -> str:
         """Every answer carries the id of its request: the client's own, else one made here."""
         given = head.headers.get("x-request-id", "") if head is not None else ""
-        return f"X-Request-Id: {given or uuid.uuid4().hex}"
+        return f"X-Request-Id: {given or self.make_id()}"
 
     def malformed(self, why: Malformed) -> Reply:
         return invalid(why.why, why.status)
--- a/pearstall/net/pending.py
+++ b/pearstall/net/pending.py
@@ -5,10 +5,14 @@
 import asyncio
 import select
 import socket
+from collections.abc import Callable
 
 
 def pending(transport: asyncio.BaseTransport) -> bool:
     """Bytes, an end or a reset that wait in the kernel; closing or writing now would cross them."""
+    tells: Callable[[], bool] | None = transport.get_extra_info("pending")
+    if tells is not None:  # a transport without a socket that knows it by itself
+        return tells()
     end: socket.socket | None = transport.get_extra_info("socket")
     if end is None or end.fileno() < 0:
         return True
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -6,6 +6,8 @@
 import signal
 import socket
 import sys
+import time
+import uuid
 from collections.abc import Callable
 from functools import partial
 from typing import TYPE_CHECKING, Any
@@ -49,6 +51,27 @@
     return clients, free - clients
 
 
+Make = Callable[[], asyncio.BaseProtocol]
+
+
+class Surroundings:
+    """What a program takes from the machine besides its loop's clock; a simulation brings its own."""
+
+    async def listen(self, make: Make, host: str, port: int) -> asyncio.AbstractServer:
+        """An OSError where the place is taken."""
+        end = _bound(host, port)
+        server = await asyncio.get_running_loop().create_server(make, sock=end, backlog=AT_ONCE)
+        end.listen(WAITING)
+        return server
+
+    def now(self) -> float:
+        """Unix time, in seconds."""
+        return time.time()
+
+    def make_id(self) -> str:
+        return uuid.uuid4().hex
+
+
 def _bound(host: str, port: int) -> socket.socket:
     end = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -63,8 +86,9 @@
 class Program:
     """One router. Made inside a running loop."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, around: Surroundings | None = None) -> None:
         self.config = config
+        self.around = around = around or Surroundings()
         self.loop = asyncio.get_running_loop()
         self.deadlines = Deadlines(self.loop)
         self.counters = Counters()
@@ -80,7 +104,7 @@
         )
         self.core = Core(config.settings, config.seed, self.deadlines, self.counters, self.servers)
         self.servers.core = self.core
-        self.group = HostGroup(self.core, config.names, config.discovery)
+        self.group = HostGroup(self.core, config.names, config.discovery, around.now)
         self.core.watch = self.group.subscribe
         self.clients = ClientLinks(self.core, self.counters, clients)
         self.clients.most_held = int(config.limits.memory_mb * HELD_PART * (1 << 20))
@@ -88,7 +112,9 @@
         if config.listen is not None:
             self.fronts[config.listen] = PlatformFront(config.names)
         if config.openai is not None and config.openai_listen is not None:
-            self.fronts[config.openai_listen] = OpenAIFront(config.openai, config.names, config.settings)
+            self.fronts[config.openai_listen] = OpenAIFront(
+                config.openai, config.names, config.settings, around.make_id
+            )
         self.form: ServerForm = PlatformServer()
         self.forms: dict[str, ServerForm] = {}
         forms = config.openai or (config.edge.asks if config.edge is not None else None)
@@ -100,8 +126,8 @@
         if config.operators is not None:
             from pearstall.edge.attach import EdgeSide  # the platform's `run` names no such file
 
-            self.edge = EdgeSide(config, self.core, self.clients)
-        self.listeners: list[asyncio.Server] = []
+            self.edge = EdgeSide(config, self.core, self.clients, around.now)
+        self.listeners: list[asyncio.AbstractServer] = []
         self.ended = asyncio.Event()
         self.leaving_from = 0.0
         self.invite_after = INVITE_AFTER
@@ -113,15 +139,13 @@
             self.group.take(self.config.known, ListKind.CACHED)
         if self.config.inventory is not None:
             self.group.load(self.config.inventory)
-        makers: dict[tuple[str, int], Callable[[], asyncio.BaseProtocol]] = {
+        makers: dict[tuple[str, int], Make] = {
             place: partial(ClientLink, self.clients, front) for place, front in self.fronts.items()
         }
         if self.edge is not None:
             makers |= self.edge.listeners()
         for (host, port), make in makers.items():
-            end = _bound(host, port)
-            self.listeners.append(await self.loop.create_server(make, sock=end, backlog=AT_ONCE))
-            end.listen(WAITING)
+            self.listeners.append(await self.around.listen(make, host, port))
 
     def _where(self, replica: int) -> tuple[tuple[str, int], ServerForm] | None:
         address = self.group.addresses.get(replica)
