--- a/pearstall/cli/lab.py
+++ b/pearstall/cli/lab.py
@@ -234,3 +234,133 @@
         for text in found.breaches:
             click.secho(text, fg="red")
     raise SystemExit(1 if found.breaches else 0)
+
+
+@lab.command()
+@click.argument("port", type=click.IntRange(0, 65535))
+@click.option("--form", type=click.Choice(["openai", "platform"]), default="openai", show_default=True)
+@click.option(
+    "--fault", type=click.Choice(["errors", "silent", "stalls", "garbles"]), help="What ails it, all along."
+)
+@click.option("--slots", default=16, show_default=True, type=click.IntRange(1))
+@click.option("--queue", default=32, show_default=True, type=click.IntRange(0))
+@click.option("--speed", default=1.0, show_default=True, type=click.FloatRange(0.01, 100))
+@click.option("--cold", is_flag=True, help="Begin cold, as after a start.")
+@click.option("--json", "as_json", is_flag=True, help="Its books as one JSON object at its end.")
+def serve(
+    port: int, form: str, fault: str | None, slots: int, queue: int, speed: float, cold: bool, as_json: bool
+) -> None:
+    """One model server on loopback with the laboratory's engine, until Ctrl-C; then its books."""
+    from pearstall.lab.engine import EngineSettings
+    from pearstall.lab.stations import ModelServer
+
+    async def main() -> ModelServer:
+        import signal
+        import time
+
+        since = time.time() if cold else 0.0
+        server = ModelServer(
+            "lab", ("127.0.0.1", port), EngineSettings(slots=slots, queue=queue), form=form, since=since
+        )
+        server.fault, server.engine.speed = fault or "", speed
+        try:
+            await server.start()
+        except OSError as error:
+            raise click.ClickException(f"port {port}: {error.strerror}") from None
+        assert isinstance(server.listener, asyncio.Server)
+        click.echo(f"model server on 127.0.0.1:{server.listener.sockets[0].getsockname()[1]}", err=True)
+        done = asyncio.Event()
+        for number in (signal.SIGINT, signal.SIGTERM):
+            asyncio.get_running_loop().add_signal_handler(number, done.set)
+        await done.wait()
+        server.stop()
+        return server
+
+    server = asyncio.run(main())
+    counters = server.engine.counters
+    books = {name: getattr(counters, name) for name in counters.__slots__} | {"requests": server.requests}
+    if as_json:
+        click.echo(json.dumps(books))
+    else:
+        for name, value in books.items():
+            click.echo(f"{name:>14}  {value:g}")
+
+
+@lab.command()
+@click.argument("scenario", type=file_argument)
+@click.argument("seed", type=int)
+@click.option("--variant", default="base", show_default=True)
+@click.option("--most", default=60, show_default=True, help="Runs tried.")
+@click.option("--json", "as_json", is_flag=True)
+def shrink(scenario: Path, seed: int, variant: str, most: int, as_json: bool) -> None:
+    """Make a run that breaks a rule smaller, while it still breaks the same one."""
+    from pearstall.lab.shrink import shrink as make_smaller
+
+    def progress(tries: int, size: str) -> None:
+        click.echo(f"{tries} runs: {size}", err=True)
+
+    try:
+        chosen = _plan(scenario).named(variant)
+    except KeyError:
+        raise click.BadParameter(f"no variant is called {variant!r}") from None
+    found = make_smaller(chosen, seed, most, progress)
+    if found is None:
+        click.echo(json.dumps({"breach": None}) if as_json else f"seed {seed} breaks no rule")
+        return
+    faults = [f"{one.kind} at {one.at:g} s" for one in found.scenario.faults]
+    if as_json:
+        click.echo(json.dumps({"breach": found.breach, "size": found.size, "faults": faults, "tries": found.tries}))
+    else:
+        click.echo(f"{found.breach}\n{found.size}\n{', '.join(faults) or 'no fault'} ({found.tries} runs)")
+
+
+@lab.command()
+@click.argument("scenario", type=file_argument)
+@click.argument("changes", nargs=-1, required=True, metavar="NAME=V,V,...")
+@click.option("--seeds", type=Seeds(), default="8", show_default=True)
+@click.option("--into", type=file_argument, help="The file of results.")
+@click.option("--workers", default=0)
+@click.pass_context
+def sweep(
+    context: click.Context,
+    scenario: Path,
+    changes: tuple[str, ...],
+    seeds: list[int],
+    into: Path | None,
+    workers: int,
+) -> None:
+    """A grid over constants of choice.py: PACE=3,4 MAX_EJECTION_PERCENT=10,40. Writes the scenario that it runs."""
+    import itertools
+
+    axes = []
+    for change in changes:
+        name, equals, values = change.partition("=")
+        if not equals or not values:
+            raise click.BadParameter(f"NAME=V,V is wanted, not {change!r}")
+        axes.append([(name, value) for value in values.split(",")])
+    lines = []
+    for point in itertools.product(*axes):
+        label = " ".join(f"{name}={value}" for name, value in point)
+        inner = "; ".join(f'constant "{name}" {value}' for name, value in point)
+        lines.append(f'variant "{label}" {{ {inner}; }}')
+    file = scenario.with_name(f"{scenario.stem}-sweep.kdl")
+    kept = [line for line in scenario.read_text().splitlines() if not line.startswith("variant ")]
+    file.write_text("\n".join([*kept, *lines, ""]))
+    context.invoke(run_experiment, scenario=file, seeds=seeds, into=into or file.with_suffix(".sqlite"),
+                   workers=workers, only=(), report=None, as_json=False)  # fmt: skip
+
+
+@lab.command()
+@click.argument("scenario", type=file_argument)
+@click.argument("seed", type=int, default=1)
+@click.option("--variant", default="base", show_default=True)
+@click.option("--pace", default=2.0, show_default=True, help="Simulated seconds a second; 0: as fast as it goes.")
+def watch(scenario: Path, seed: int, variant: str, pace: float) -> None:
+    """A run, live in the terminal: servers by load and state, answers, refusals."""
+    from pearstall.lab.watch import watch as look
+
+    try:
+        _plan(scenario).named(variant)
+    except KeyError:
+        raise click.BadParameter(f"no variant is called {variant!r}") from None
+    raise SystemExit(look(str(scenario), variant, seed, pace))
--- a/pearstall/config/operators.py
+++ b/pearstall/config/operators.py
@@ -98,6 +98,7 @@
             "allow-origin": Shape(args=(text,), many=True),
         },
     ),
+    "subset": Shape(args=(whole(1, 1_000_000),)),
     "log": Shape(
         props={"form": one_of("json", "console", "off"), "level": one_of("debug", "info", "warning", "error"),
                "flood": number(0, 1e6)}
@@ -127,6 +128,7 @@
     openai: OpenAIConfig | None = None
     edge: EdgeConfig | None = None
     log: LogConfig = LogConfig()
+    subset: int = 0
     classes: list[tuple[str, Place]] = []
     warnings: list[Trouble] = []
 
@@ -185,6 +187,8 @@
             _asks(one, out, form, forms, "")  # closed, and its classes are checked all the same; its keys aren't
     for one in found.get("log", []):
         out.log = LogConfig(**{key: value for key, value in one.props.items() if value is not None})
+    for one in found.get("subset", []):
+        out.subset = one.args[0] if one.args and one.args[0] else 0
     if troubles:
         raise Unreadable(sorted(troubles, key=lambda one: (one.path, one.place.line, one.place.column)))
     return out
--- a/pearstall/lab/scenarios.py
+++ b/pearstall/lab/scenarios.py
@@ -35,6 +35,7 @@
     "setting": Shape(args=(text, number(-1e12, 1e12)), many=True),
     "engine": Shape(props=ENGINE),
     "load": Shape(args=(text,)),
+    "subset": Shape(args=(whole(0, 1_000_000),)),
 }
 SHAPES = {
     "scenario": Shape(args=(text,), props={"seconds": duration(1, 86400)}),
@@ -152,6 +153,8 @@
             troubles.append(Trouble(path, one.node.place, f"load: {error}"))
     for one in found.get("engine", []):
         out.engine = msgspec.structs.replace(out.engine, **_under(one.props))
+    for one in found.get("subset", []):
+        out.subset = one.args[0]
     for one in found.get("constant", []):
         name, value = one.args
         if not isinstance(vars(choice).get(name), int | float) or isinstance(vars(choice).get(name), bool):
--- a/pearstall/lab/world.py
+++ b/pearstall/lab/world.py
@@ -109,6 +109,7 @@
     settings: dict[str, Any] = {}  # over the platform's
     constants: dict[str, float] = {}  # of choice.py, for the length of a run
     sockets: int = 1024
+    subset: int = 0  # servers that each router uses; 0: all
 
 
 @dataclass(slots=True)
@@ -658,7 +659,10 @@
         "obligations": {"mustAskIn": 1_000_000, "cold": int(engine.cold_time * 1e6), "coldShare": engine.cold_share,
                         "tipMultiple": 3.0},
     }  # fmt: skip
-    data = msgspec.json.encode(raw | scenario.settings)
+    for name, value in scenario.settings.items():
+        place = next((part for part in (raw["limits"], raw["obligations"]) if name in part), raw)
+        place[name] = int(value)
+    data = msgspec.json.encode(raw)
     return Config(
         name=router.host,
         listen=(router.host, PORT),
@@ -666,6 +670,7 @@
         seed=seed,
         limits=Limits(sockets=scenario.sockets),
         known=HostList(),
+        subset=scenario.subset,
         settings=settings_from_wire(data),
         names=msgspec.json.decode(data, type=Names),
     )
--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -104,6 +104,7 @@
     openai: OpenAIConfig | None = None
     openai_listen: tuple[str, int] | None = None
     operators: Operators | None = None  # where a file of the operators is named
+    subset: int = 0  # model servers that this router uses; 0: all
     inventory: Path | None = None
     said: str = ""  # where its file says that discovery is; the environment may have said otherwise
     source: Source = msgspec.field(default_factory=lambda: Source())
@@ -157,6 +158,7 @@
         openai=second,
         openai_listen=address(second.listen, "openai listen") if second else None,
         operators=own,
+        subset=own.subset if own is not None else 0,
         inventory=Path(inventory) if inventory else None,
         said=raw.discovery,
         source=Source(dict(env), operators, inventory, config),
--- a/pearstall/net/host_group.py
+++ b/pearstall/net/host_group.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import Callable
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from pearstall.interface import ListKind, Replica, ReplicaList, State
 from pearstall.net.buffer import Buffer
@@ -17,6 +18,9 @@
 from pearstall.net.inventory import BadList, Host, HostList, read_host_list, read_inventory, split_address
 from pearstall.net.platform import number_of
 
+if TYPE_CHECKING:
+    from pearstall.net.subset import Subset
+
 SILENCE = 3.0  # a watch sends a line every 2 s; without one for so long it is dead
 LARGEST_LINE = 8 << 20
 STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
@@ -31,7 +35,9 @@
         names: Names,
         discovery: tuple[str, int] | None,
         now: Callable[[], float] = time.time,
+        subset: Subset | None = None,
     ) -> None:
+        self.subset = subset
         self.core = core
         self.discovery = discovery
         self.zones = {name: number for number, name in enumerate(names.dcs)}
@@ -46,6 +52,8 @@
 
     def take(self, news: HostList, kind: int) -> None:
         self.core.counters.list_entries_skipped += news.skipped
+        if self.subset is not None:
+            news = self.subset.take(news, kind != ListKind.DELTA)
         if news.index >= 0:
             self.index = news.index
         if kind != ListKind.DELTA:
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -104,7 +104,12 @@
         )
         self.core = Core(config.settings, config.seed, self.deadlines, self.counters, self.servers)
         self.servers.core = self.core
-        self.group = HostGroup(self.core, config.names, config.discovery, around.now)
+        subset = None
+        if config.subset:
+            from pearstall.net.subset import Subset  # like the edge: off, and not imported, on the platform
+
+            subset = Subset(config.subset, config.name)
+        self.group = HostGroup(self.core, config.names, config.discovery, around.now, subset)
         self.core.watch = self.group.subscribe
         self.clients = ClientLinks(self.core, self.counters, clients)
         self.clients.most_held = int(config.limits.memory_mb * HELD_PART * (1 << 20))
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -20,8 +20,10 @@
 from tests.test_lists import config_file
 
 ROOT = Path(__file__).parent.parent
-LEAN = ("click", "ckdl", "structlog", "wsproto", "blake3", "httpx", "websockets", "matplotlib", "h11",
-        "pearstall.edge", "pearstall.cli", "pearstall.config", "pearstall.lab", "pearstall.logs")  # fmt: skip
+LEAN = (
+    "click", "ckdl", "structlog", "wsproto", "blake3", "httpx", "websockets", "matplotlib", "h11", "lark", "numpy",
+    "pearstall.net.subset", "pearstall.edge", "pearstall.cli", "pearstall.config", "pearstall.lab", "pearstall.logs",
+)  # fmt: skip
 
 
 def call(*words: object) -> Result:
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -25,6 +25,7 @@
 from pearstall.lab.network import Path as Way
 from pearstall.lab.rates import BadRate, most, parse_rate
 from pearstall.lab.scenarios import read_plan
+from pearstall.lab.shrink import shrink
 from pearstall.lab.world import Fault, Klass, Result, Scenario, play
 from tests.net_support import cut_settings
 from tests.test_core import Clock
@@ -356,6 +357,9 @@
     monkeypatch.setattr(server_link.ServerLink, "give_up", keeps)
     breaches = play(calm, 1).breaches
     assert breaches and "while out at" in breaches[0] and "seed 1" in breaches[0]
+    found = shrink(calm, 1, most=12)
+    assert found is not None and "while out at" in found.breach and found.tries <= 12
+    assert found.scenario.seconds < 6 and found.scenario.servers <= 4 and len(found.scenario.faults) == 1
 
 
 # -- experiments -------------------------------------------------------------------------------------------
@@ -402,7 +406,66 @@
     assert page.count("<svg") == 4 and "3 seeds (1 to 3)" in page and "src=" not in page
     again = json.loads(call("replay", file, 2, "--json").output)
     assert again["worth"] == more["worth"]["base"]["2"]
+    swept = call("sweep", file, "MAX_EJECTION_PERCENT=0,40", "--seeds", "1", "--workers", "2")
+    assert swept.exit_code == 0 and "MAX_EJECTION_PERCENT=0 against base, 1 seeds" in swept.output
+    assert call("sweep", file, "NOTHING=1").exit_code == 1 and call("sweep", file, "PACE").exit_code == 2
     file.write_text(file.read_text().replace("6/s", "7/s"))
     other = call(*words, "--seeds", "2")
     assert other.exit_code == 1 and "another scenario" in other.output
     assert call("run", file, "--only", "odd").exit_code == 2 and call("run", file, "--seeds", "x").exit_code == 2
+
+
+def test_the_engine_answers_on_real_sockets_and_counts_what_it_made_for_nobody() -> None:
+    import signal
+
+    import httpx
+
+    words = [sys.executable, "-m", "pearstall", "lab", "serve", "0", "--json", "--slots", "2", "--queue", "1"]
+    process = subprocess.Popen(words, cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, text=True)
+    try:
+        assert process.stderr is not None
+        port = int(process.stderr.readline().rsplit(":", 1)[1])
+        url = f"http://127.0.0.1:{port}/v1/chat/completions"
+        body = {"model": "m", "stream": True, "max_tokens": 40, "messages": [{"role": "user", "content": "x" * 400}]}
+        answer = httpx.post(url, json=body, timeout=30)
+        assert answer.status_code == 200 and answer.text.count("w") == 40 and answer.text.endswith("data: [DONE]\n\n")
+        assert '"cached_tokens":0' in answer.text and '"completion_tokens":40' in answer.text
+        assert '"cached_tokens":96' in httpx.post(url, json=body, timeout=30).text  # whole blocks of its beginning
+        with httpx.stream("POST", url, json={**body, "max_tokens": 400}, timeout=30) as left:
+            next(left.iter_raw())
+        assert httpx.post(url, content=b"{", timeout=30).status_code == 400
+        assert httpx.post(url, json={**body, "max_tokens": 400}, timeout=30).status_code == 200  # as long as that one
+        process.send_signal(signal.SIGTERM)
+        out, _ = process.communicate(timeout=30)
+        books = json.loads(out)
+        assert books["wasted"] > 200 and books["cancelled"] == 1 and books["taken"] == 4
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_a_run_is_watched_in_the_terminal() -> None:
+    from textual.widgets import DataTable, Static
+
+    from pearstall.lab.watch import Snapshot, Watch, snapshot
+
+    seen: list[Snapshot] = []
+    play(MIXED, 1, watch=lambda world: seen.append(snapshot(world)))
+    waiting = list(seen)
+
+    async def scene() -> None:
+        app = Watch("mixed", lambda: waiting.pop(0) if waiting else None)
+        async with app.run_test() as pilot:
+            app.look()
+            await pilot.pause()
+            assert not waiting and f"{seen[-1].at:.0f} s" in str(app.query_one("#head", Static).render())
+            assert app.query_one(DataTable).row_count == len(seen[-1].kinds)
+            assert "8 servers" in str(app.query_one("#grid", Static).render())
+            await pilot.press("space")
+            waiting.append(seen[0])
+            app.look()
+            assert app.paused and waiting
+            await pilot.press("q")
+
+    asyncio.run(scene())
+    assert any(ails for one in seen for _, _, ails in one.servers)
