Count ejections from a run's begin, and share the engine's letting go of blocks

Need: precision and recall of ejections were reckoned from a guessed offset of the loop's clock, and the engine let go of shared blocks in two copies of the same lines.

Change: ejections are noted in seconds since the run's begin; `_let_go` serves admission, release and preemption.

--- a/pearstall/lab/engine.py
+++ b/pearstall/lab/engine.py
@@ -171,10 +171,8 @@
         self.free -= count
         return True
 
-    def _release(self, one: Sequence_) -> None:
-        """Blocks of the prompt that were read whole stay by their content, until their room is needed."""
-        mine = len(one.owned)
-        whole = min(len(one.keys), one.read // self.settings.block)
+    def _let_go(self, one: Sequence_) -> None:
+        """Its shared blocks: those that nobody uses any more are kept while there is room."""
         for key in one.owned:
             left = self.shared[key] - 1
             if left:
@@ -182,13 +180,19 @@
             else:
                 del self.shared[key]
                 self.kept[key] = None
+        one.owned = []
+
+    def _release(self, one: Sequence_) -> None:
+        """Blocks of the prompt that were read whole stay by their content, until their room is needed."""
+        mine = len(one.owned)
+        whole = min(len(one.keys), one.read // self.settings.block)
+        self._let_go(one)
         for key in one.keys[mine:whole]:
             if one.held and key not in self.shared and key not in self.kept:
                 self.kept[key] = None
                 one.held -= 1
         self.free += one.held
         one.held = 0
-        one.owned = []
 
     # -- steps ---------------------------------------------------------------------------------------------
 
@@ -204,14 +208,7 @@
             found = self._reuse(one)
             need = -(-(one.prompt + one.made + 1) // settings.block) - found
             if not self._take(need):
-                for key in one.owned:
-                    left = self.shared[key] - 1
-                    if left:
-                        self.shared[key] = left
-                    else:
-                        del self.shared[key]
-                        self.kept[key] = None
-                one.owned = []
+                self._let_go(one)
                 return
             self.waiting.popleft()
             one.held = need
--- a/pearstall/lab/experiments.py
+++ b/pearstall/lab/experiments.py
@@ -198,16 +198,14 @@
 def detection(result: dict[str, Any]) -> tuple[float, float, float]:
     """Ejections against the truth: the share that hit a sick server, the share of sick servers hit, and the mean
     time from falling sick to the first ejection."""
-    begin = 1000.0  # of the loop's clock; runs begin a little later
     sick = result["sick"]
     hits = 0
     found: dict[int, float] = {}
     for at, _, name in result["ejections"]:
-        when = at - begin - 0.2
         for number, (since, until, other) in enumerate(sick):
-            if name == other and since <= when <= until + 1.0:
+            if name == other and since <= at <= until + 1.0:
                 hits += 1
-                found.setdefault(number, when - since)
+                found.setdefault(number, at - since)
     count = len(result["ejections"])
     precision = hits / count if count else 1.0
     recall = len(found) / len(sick) if sick else 1.0
--- a/pearstall/lab/report.py
+++ b/pearstall/lab/report.py
@@ -103,8 +103,7 @@
         for one in store.results(name).values():
             sick = {(server, since, until) for since, until, server in one["sick"]}
             for at, _, server in one["ejections"]:
-                when = at - 1000.2
-                hit = any(server == other and since <= when <= until + 1 for other, since, until in sick)
+                hit = any(server == other and since <= at <= until + 1 for other, since, until in sick)
                 hits, misses = hits + hit, misses + (not hit)
         count = max(1, len(store.results(name)))
         right.append(hits / count)
--- a/pearstall/lab/world.py
+++ b/pearstall/lab/world.py
@@ -698,12 +698,13 @@
 ) -> Result:  # fmt: skip
     """One run. The product's log lines go nowhere; ejections are read off them."""
     began = time.perf_counter()
+    lines = _Ejections()
 
     async def main() -> Result:
         world = World(scenario, seed)
         await world.build()
         await asyncio.sleep(0.2)
-        world.begin = world.loop.time()
+        world.begin = lines.begin = world.loop.time()
         await world.faults()
 
         async def tell() -> None:
@@ -725,7 +726,6 @@
             world.breach(f"{world.open} clients still wait, {20 * longest:.0f} s after the last ask")
         return world.finish()
 
-    lines = _Ejections()
     with constants(scenario.constants), contextlib.redirect_stderr(lines):
         loop = VirtualLoop()
         lines.loop = loop
@@ -743,10 +743,11 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self.found: list[tuple[float, int]] = []
+        self.found: list[tuple[float, int]] = []  # seconds since the run's begin, the router's number of a server
+        self.begin = 0.0
         self.loop: VirtualLoop | None = None
 
     def write(self, text: str) -> int:
         if text.startswith("eject replica ") and self.loop is not None:
-            self.found.append((self.loop.now, int(text.split(" ")[2])))
+            self.found.append((self.loop.now - self.begin, int(text.split(" ")[2])))
         return len(text)
