Put devices into the laboratory's worlds, and leave hangs and silent streams sooner

Worlds now have devices: the public client libraries on the network in memory, behind poor links, moving between cells, held to account by the ledger. Its first breach showed that a router's link to a server counted as its client's host: a partition between routers and servers cut nothing. A transport now calls its protocol as its own host.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -46,6 +46,7 @@
 
 CONSECUTIVE_5XX = 3  # failures of any kind in a row that eject
 CONSECUTIVE_GATEWAY_FAILURE = 3  # time-outs, failed connects, resets and broken streams in a row that eject
+CONSECUTIVE_STALLS = 2  # streams in a row that fell silent behind their first token, none whole between, that eject
 INTERVAL_AIMS = 1.5  # interval: this many of the longest aim
 BASE_EJECTION_AIMS = 3.0  # base_ejection_time: likewise
 MAX_EJECTION_TIMES = 6  # max_ejection_time / base_ejection_time
@@ -91,6 +92,8 @@
 REFUSE_MARGIN = 1.2  # a prediction over this many times the time left can't earn
 HEDGE_TIMES = 3.0  # a second attempt goes out after this many times the predicted first token
 HEDGE_ROOM = 1.3  # and only while this many median predictions still fit before the aim
+PATIENCE_TIMES = 5.0  # a first token this many times as late as predicted is no queue but a hang
+PATIENCE_TIMEOUTS = 0.2  # unless more than this share of attempts, of late, was given up for lateness
 HEDGE_SHARE = 0.03  # second copies, as a share of requests
 HEDGE_BURST = 4.0
 COLD_SAFETY = 0.6  # part of a cold replica's budget that the gateways together may use
@@ -121,7 +124,7 @@
 class _Call:
     """A request this gateway has taken, until it is answered and its attempts have ended."""
 
-    __slots__ = ("request", "klass", "born", "earn_by", "attempts", "out", "answered", "streaming",
+    __slots__ = ("request", "klass", "born", "aim_at", "earn_by", "attempts", "out", "answered", "streaming",
                  "hedge_at", "homes_zone", "homes_from", "homes", "session_home")  # fmt: skip
 
     def __init__(self, request: Request, klass: RequestClass, born: int) -> None:
@@ -129,6 +132,7 @@
         self.klass = klass
         self.born = born  # when its client asked first, as far as this gateway knows
         aim = born + klass.aim + int(klass.aim_per_1000_tokens * request.prompt_tokens / 1000)
+        self.aim_at = aim
         self.earn_by = request.deadline if klass.late_worth > 0 else min(aim, request.deadline)
         self.attempts: list[_Attempt] = []
         self.out = 0
@@ -143,8 +147,8 @@
 
 class _Replica:
     __slots__ = ("id", "zone", "cell", "kind", "mark", "place", "ready", "started",
-                 "consecutive_5xx", "consecutive_gateway_failure", "successes", "volume", "thin",
-                 "multiplier", "ejected_until",
+                 "consecutive_5xx", "consecutive_gateway_failure", "consecutive_stalls", "stalled_at",
+                 "successes", "volume", "thin", "multiplier", "ejected_until",
                  "w0", "w1", "w2", "p00", "p01", "p02", "p11", "p12", "p22", "fitted",
                  "failing", "full_until", "waiting", "unread", "streams", "kept", "hold", "strays",
                  "cold_debt", "cold_at")  # fmt: skip
@@ -167,6 +171,8 @@
         self.started = entry.started
         self.consecutive_5xx = 0
         self.consecutive_gateway_failure = 0
+        self.consecutive_stalls = 0
+        self.stalled_at = -1  # when one was last counted
         self.successes = 0
         self.volume = 0
         self.thin = 0
@@ -228,6 +234,7 @@
         # The prediction of a replica without samples: intercept, a thousand unread tokens, a stream.
         self.median = (self.shortest / 10, self.shortest / 8, self.shortest / 100)
         self.medians: dict[int, tuple[float, float, float]] = {}  # by kind, where enough have samples
+        self.learned = False  # the median comes from samples
         self.timeouts = 0.0  # recent share of time-outs over all replicas
         self.hedges = HEDGE_BURST
         self.crossing = CROSSING * settings.cross_zone_price * self.shortest
@@ -475,6 +482,12 @@
                     self.actions.append(SetTimer(int(patience), request.id))
                     return
                 timeout = int(patience)
+                # A hang is left while another still fits before the aim, and not only before the deadline.
+                before_aim = int(call.aim_at - now - other)
+                # Without samples, or with many late, it may well be that all take so long.
+                known = self.learned and self.timeouts < PATIENCE_TIMEOUTS
+                if known and before_aim > PATIENCE_TIMES * predicted:
+                    timeout = min(timeout, before_aim)
         self.actions.append(Send(request.id, replica.id, timeout))
 
     def _on_timer(self, timer: Timer) -> None:
@@ -548,6 +561,8 @@
             replica.full_until = self.now + self.shortest // 4
         if waiting or event.result != Result.OK:
             self._judge(replica, event.result)
+        if not waiting:
+            self._judge_stream(attempt, event.result)
         if event.done or call.answered:
             if not call.answered:
                 self._cancel_out(call)
@@ -880,6 +895,21 @@
         elif replica.consecutive_5xx >= CONSECUTIVE_5XX:
             self._eject(replica, "consecutive_5xx")
 
+    def _judge_stream(self, attempt: _Attempt, result: int) -> None:
+        """Streams that began are counted by themselves: each first token ends the streaks above, and a replica that
+        begins every answer and then falls silent would never be ejected where it is met seldom. A hang silences all
+        its streams and counts once, for it is over when it is noticed: a further one must have been sent after
+        that. Resets don't count: a process that is replaced resets all its streams, and the next one is well."""
+        replica = attempt.replica
+        if result == Result.OK:
+            replica.consecutive_stalls = 0
+        elif result == Result.TIMEOUT and attempt.sent > replica.stalled_at:
+            replica.consecutive_stalls += 1
+            replica.stalled_at = self.now
+            if replica.consecutive_stalls >= CONSECUTIVE_STALLS:
+                replica.consecutive_stalls = CONSECUTIVE_STALLS - 1  # back, it has one stream to show that it is well
+                self._eject(replica, "consecutive_stalls")
+
     def _eject(self, replica: _Replica, why: str) -> None:
         if replica.ejected_until > self.now or not replica.ready:
             return
@@ -928,6 +958,7 @@
                 replica.successes = replica.volume = replica.thin = 0
         if fits:
             self.median = _median(fits)
+            self.learned = self.learned or len(fits) >= KIND_MINIMUM_HOSTS
             # In a large fleet most replicas have no recent sample here; those of a kind are alike.
             kinds: dict[int, list[_Replica]] = {}
             for replica in fits:
--- a/pearstall/cli/lab.py
+++ b/pearstall/cli/lab.py
@@ -207,8 +207,9 @@
 @click.argument("seed", type=int)
 @click.option("--variant", default="base", show_default=True)
 @click.option("--until", type=float, help="Seconds of the run.")
+@click.option("--trace", "traced", is_flag=True, help="Every line that goes into the digest, with its time.")
 @click.option("--json", "as_json", is_flag=True)
-def replay(scenario: Path, seed: int, variant: str, until: float | None, as_json: bool) -> None:
+def replay(scenario: Path, seed: int, variant: str, until: float | None, traced: bool, as_json: bool) -> None:
     """One seed again, to the last event: its digest is the same each time."""
     import msgspec
 
@@ -221,12 +222,18 @@
         raise click.BadParameter(f"no variant is called {variant!r}") from None
     if until is not None:
         chosen = msgspec.structs.replace(chosen, seconds=min(until, chosen.seconds))
-    found = play(chosen, seed)
+    lines: list[str] = []
+    found = play(chosen, seed, trace=lines if traced else None)
     rate = found.events / found.real_seconds
     if as_json:
         click.echo(json.dumps({"digest": found.digest, "worth": found.worth, "kinds": found.kinds,
-                               "breaches": found.breaches, "callbacks_a_second": rate}))  # fmt: skip
+                               "breaches": found.breaches, "callbacks_a_second": rate,
+                               "devices": found.devices, "trace": lines}))  # fmt: skip
     else:
+        for line in lines:
+            click.echo(line)
+        for key, value in found.devices.items():
+            click.echo(f"devices {key:>20}  {value:g}")
         click.echo(f"digest {found.digest}\n"
                    f"worth {found.worth:.4f} of {found.asked} asks: {found.kinds}\n"
                    f"{found.seconds:.0f} s in {found.real_seconds:.1f} s, "
@@ -320,15 +327,15 @@
 @click.option("--seeds", type=Seeds(), default="8", show_default=True)
 @click.option("--into", type=file_argument, help="The file of results.")
 @click.option("--workers", default=0)
+@click.option("--halve", "halving", is_flag=True, help="Successive halving: many points on few seeds first.")
+@click.option("--by", default="worth", show_default=True, help="The measure that --halve goes by.")
+@click.option("--least", is_flag=True, help="Less of it is better.")
+@click.option("--json", "as_json", is_flag=True)
 @click.pass_context
 def sweep(
-    context: click.Context,
-    scenario: Path,
-    changes: tuple[str, ...],
-    seeds: list[int],
-    into: Path | None,
-    workers: int,
-) -> None:
+    context: click.Context, scenario: Path, changes: tuple[str, ...], seeds: list[int], into: Path | None,
+    workers: int, halving: bool, by: str, least: bool, as_json: bool,
+) -> None:  # fmt: skip
     """A grid over constants of choice.py: PACE=3,4 MAX_EJECTION_PERCENT=10,40. Writes the scenario that it runs."""
     import itertools
 
@@ -346,8 +353,24 @@
     file = scenario.with_name(f"{scenario.stem}-sweep.kdl")
     kept = [line for line in scenario.read_text().splitlines() if not line.startswith("variant ")]
     file.write_text("\n".join([*kept, *lines, ""]))
-    context.invoke(run_experiment, scenario=file, seeds=seeds, into=into or file.with_suffix(".sqlite"),
-                   workers=workers, only=(), report=None, as_json=False)  # fmt: skip
+    results = into or file.with_suffix(".sqlite")
+    if not halving:
+        context.invoke(run_experiment, scenario=file, seeds=seeds, into=results, workers=workers, only=(),
+                       report=None, as_json=as_json)  # fmt: skip
+        return
+    from pearstall.lab.experiments import Store, halve
+
+    plan = _plan(file)
+    with Store(results) as store:
+        held = store.about("scenario")
+        if held is not None and held != file.read_text():
+            raise click.ClickException(f"{results} holds results of another scenario; name another file with --into")
+        order = halve(str(file), [one.name for one in plan.variants], seeds, store, by, least, workers,
+                      lambda line: click.echo(line, err=True))  # fmt: skip
+    if as_json:
+        click.echo(json.dumps({"order": [{"variant": name, by: mean, "seeds": n} for name, mean, n in order]}))
+    for name, mean, count in order if not as_json else ():
+        click.echo(f"{name:<40} {by} {mean:.4f} over {count} seeds")
 
 
 @lab.command()
--- a/pearstall/lab/engine.py
+++ b/pearstall/lab/engine.py
@@ -99,6 +99,7 @@
         self.kept: OrderedDict[object, None] = OrderedDict()  # unused, the longest unused first
         self.counters = Counters()
         self.stepping = False
+        self.tail: Callable[[], float] | None = None  # a factor on each step's time: stragglers
 
     @property
     def load(self) -> int:
@@ -246,6 +247,8 @@
         if age < settings.cold_time:
             share = settings.cold_share + (1 - settings.cold_share) * max(0.0, age) / settings.cold_time
             took /= share
+        if self.tail is not None:
+            took *= self.tail()
         counters = self.counters
         counters.steps += 1
         counters.prompt_tokens += read
--- a/pearstall/lab/experiments.py
+++ b/pearstall/lab/experiments.py
@@ -57,6 +57,7 @@
 
     def put(self, variant: str, result: Result) -> None:
         row = asdict(result)
+        row["device_waits"] = thinned(result.device_waits, MOST_FIRSTS)
         row["first"] = {name: thinned(waits, MOST_FIRSTS) for name, waits in result.first.items()}
         self.base.execute(
             "insert or replace into runs values (?, ?, ?, ?, ?, ?, ?)",
@@ -116,6 +117,37 @@
     return count
 
 
+def halve(
+    path: str, names: list[str], seeds: list[int], store: Store, measure: str = "worth", least: bool = False,
+    workers: int = 0, progress: Callable[[str], object] = lambda line: None,
+) -> list[tuple[str, float, int]]:  # fmt: skip
+    """Successive halving (Jamieson and Talwalkar 2016): all variants on a few seeds, then the better half on twice as
+    many, until one is left or the seeds run out. Every variant is judged on the same seeds as its rivals, the base
+    stays in to be compared with. Name, mean and seeds of each, best first; the last rounds' are at the front."""
+    plan = read_plan(path)
+    alive = [name for name in names if name != "base"]
+    count = max(2, len(seeds) >> max(0, (len(alive) - 1).bit_length() - 1))
+    fallen: list[tuple[str, float, int]] = []
+    while True:
+        count = min(count, len(seeds))
+        chosen = seeds[:count]
+        run_all(plan, chosen, store, workers, only=["base", *alive])
+        means = {}
+        for name in ["base", *alive]:
+            results = store.results(name)
+            values = [measures(results[seed]).get(measure, 0.0) for seed in chosen]
+            means[name] = sum(values) / len(values)
+        order = sorted(alive, key=lambda name: means[name], reverse=not least)
+        progress(f"{count} seeds, {len(alive)} variants: best {order[0]} with {means[order[0]]:.4f}, "
+                 f"base {means['base']:.4f}")  # fmt: skip
+        if count == len(seeds) or len(order) <= 1:
+            return [(name, means[name], count) for name in order] + fallen + [("base", means["base"], count)]
+        keep = max(1, (len(order) + 1) // 2)
+        fallen = [(name, means[name], count) for name in order[keep:]] + fallen
+        alive = order[:keep]
+        count *= 2
+
+
 @dataclass(slots=True)
 class Difference:
     """Of one measure, the other less the base, paired by seed."""
@@ -187,6 +219,13 @@
         if waits:
             out[f"first token p50, {name}"] = float(np.quantile(waits, 0.5))
             out[f"first token p99, {name}"] = float(np.quantile(waits, 0.99))
+    devices, waits = result.get("devices") or {}, result.get("device_waits") or []
+    if devices.get("asked"):
+        out["devices served"] = devices.get("held served", 0) / devices["asked"]
+        out["attempts a device's ask"] = devices["attempts"] / devices["asked"]
+        if waits:
+            out["device wait p50"] = float(np.quantile(waits, 0.5))
+            out["device wait p99"] = float(np.quantile(waits, 0.99))
     precision, recall, delay = detection(result)
     if result["sick"]:
         out["ejection precision"], out["ejection recall"] = precision, recall
--- a/pearstall/lab/servers.py
+++ b/pearstall/lab/servers.py
@@ -56,7 +56,9 @@
 class Books:
     """All executions of all servers, by the id that the client gave its query."""
 
-    def __init__(self) -> None:
+    def __init__(self, given_up: Callable[[asyncio.BaseTransport], bool] = pending) -> None:
+        self.given_up = given_up  # whether the other side of this connection has left it, as far as can be known
+        self.count = 0
         self.by_txn: dict[str, list[Execution]] = {}
         self.out: dict[str, list[tuple[Execution, asyncio.BaseTransport]]] = {}
         self.doubles: list[str] = []  # queries with two executions out at once
@@ -65,8 +67,9 @@
         """A second execution while the first is out on an open link is a breach; one whose end waits unread
         on its link was given up."""
         for _, other in self.out.get(execution.txn, []):
-            if not other.is_closing() and not pending(other):
+            if not other.is_closing() and not self.given_up(other):
                 self.doubles.append(execution.txn)
+        self.count += 1
         self.by_txn.setdefault(execution.txn, []).append(execution)
         self.out.setdefault(execution.txn, []).append((execution, transport))
 
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -20,6 +20,7 @@
 from pearstall.cli.main import commands
 from pearstall.config.kdl import Unreadable
 from pearstall.lab.clock import Stuck, VirtualLoop, run
+from pearstall.lab.devices import Devices, EdgeSettings
 from pearstall.lab.engine import Engine, EngineSettings, Sequence_
 from pearstall.lab.experiments import Store, bootstrap, compare
 from pearstall.lab.network import Network, be
@@ -27,7 +28,7 @@
 from pearstall.lab.rates import BadRate, most, parse_rate
 from pearstall.lab.scenarios import read_plan
 from pearstall.lab.shrink import shrink
-from pearstall.lab.world import Fault, Klass, Result, Scenario, play
+from pearstall.lab.world import Fault, Klass, Result, Scenario, play, play_on_sockets
 from tests.net_support import cut_settings
 from tests.test_core import Clock
 
@@ -169,6 +170,37 @@
     pair(scene)
 
 
+def test_what_a_host_starts_is_its_own_whoever_woke_it() -> None:
+    """A router's links once counted as its clients': a partition between routers and servers cut nothing, and a
+    device that moved took the router's link to a server with it into the dark."""
+
+    async def scene(loop: VirtualLoop) -> None:
+        network = Network(loop, 1)
+        last = End()
+
+        class Middle(End):
+            def data_received(self, data: bytes) -> None:
+                super().data_received(data)
+                loop.create_task(loop.create_connection(End, "c", 1))
+
+        await loop.create_server(Middle, "b", 1)
+        await loop.create_server(lambda: last, "c", 1)
+        be("a")
+        _, near = await loop.create_connection(End, "b", 1)
+        near.transport.write(b"x")
+        await asyncio.sleep(1)
+        assert last.transport.get_extra_info("peername")[0] == "b"
+        # A connect that nobody waits for any more leaves no end behind that was never given to anybody.
+        before = len(network.ends)
+        task = loop.create_task(loop.create_connection(End, "c", 1))
+        await asyncio.sleep(0.0003)
+        task.cancel()
+        await asyncio.sleep(1)
+        assert len(network.ends) == before and not loop.errors
+
+    virtual(scene)
+
+
 @cut_settings
 @given(st.integers(0, 10**6), st.lists(st.integers(1, 20_000), min_size=1, max_size=8))
 def test_loss_delays_and_never_loses(seed: int, sizes: list[int]) -> None:
@@ -365,6 +397,54 @@
     assert found.scenario.seconds < 6 and found.scenario.servers <= 4 and len(found.scenario.faults) == 1
 
 
+DEVICES = Scenario(
+    seconds=8, routers=2, servers=5, zones=2, rate=lambda t: 3.0, most_rate=3.0, classes=[Klass("chat", give_up=4.0)],
+    devices=[Devices("phones", 14, "mobile", every=2.0, moves=3.0, sleeps=0.2),
+             Devices("trains", 6, "tunnel", every=2.0, moves=1.5, wires=("ws-json", "poll"))],
+    edge=EdgeSettings(linger=5.0, arrivals=20.0, arrivals_burst=5.0),
+    faults=[Fault("reconnect-storm", 3, every=3.0), Fault("gray", 1, 3, count=1),
+            Fault("errors", 2, 1, count=1, every=3), Fault("kill-router", 5, 0.5, count=1),
+            Fault("heavy-tail", 1, 4, count=2), Fault("skew", 1, 5, factor=90.0)],
+)  # fmt: skip
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_devices_hold_one_whole_answer_through_moves_storms_and_lost_routers(seed: int) -> None:
+    """Public client libraries on the network in memory; a ledger joins what devices, edges and servers say."""
+    found = play(DEVICES, seed)
+    assert not found.breaches
+    devices = found.devices
+    assert devices["asked"] > 40 and devices["moves"] > 10 and devices["told dropped"] > 0
+    assert sum(count for name, count in devices.items() if name.startswith("held ")) == devices["asked"]
+    assert devices["held served"] > 0.6 * devices["asked"]
+    assert play(DEVICES, seed).digest == found.digest
+
+
+def test_the_ledger_of_a_world_sees_events_told_twice(monkeypatch: pytest.MonkeyPatch) -> None:
+    """An edge that forgets what a device has acknowledged holding, and tells it all again."""
+    from pearstall.edge.sessions import Ask
+
+    attach = Ask.attach
+
+    def forgets(self: Any, reader: Any, last: int) -> Any:
+        return attach(self, reader, max(0, last - 1))
+
+    monkeypatch.setattr(Ask, "attach", forgets)
+    breaches = play(DEVICES, 1).breaches
+    assert any("order: events from" in text for text in breaches)
+
+
+def test_a_run_in_virtual_time_is_the_run_on_sockets() -> None:
+    """The load, the draws and the rules are the same; how long things take is the machine's own business."""
+    calm = Scenario(seconds=1.5, routers=2, servers=3, rate=lambda t: 6.0, most_rate=6.0,
+                    classes=[Klass("chat", wanted=8, turns=0, give_up=10.0)])  # fmt: skip
+    virtual_run, real = play(calm, 5), play_on_sockets(calm, 5)
+    assert real.asked == virtual_run.asked > 3 and real.kinds == virtual_run.kinds == {"served": real.asked}
+    assert real.made == virtual_run.made and not real.breaches
+    with pytest.raises(ValueError, match="partition"):
+        play_on_sockets(msgspec.structs.replace(calm, faults=[Fault("partition", 1)]), 5)
+
+
 # -- experiments -------------------------------------------------------------------------------------------
 
 
@@ -412,6 +492,12 @@
     swept = call("sweep", file, "MAX_EJECTION_PERCENT=0,40", "--seeds", "1", "--workers", "2")
     assert swept.exit_code == 0 and "MAX_EJECTION_PERCENT=0 against base, 1 seeds" in swept.output
     assert call("sweep", file, "NOTHING=1").exit_code == 1 and call("sweep", file, "PACE").exit_code == 2
+    halved = call("sweep", file, "MAX_EJECTION_PERCENT=0,10,20,40", "--seeds", "4", "--halve", "--workers", "2",
+                  "--into", tmp_path / "h.sqlite", "--json")  # fmt: skip
+    order = json.loads(halved.stdout)["order"]
+    assert [row["seeds"] for row in order] == [4, 4, 2, 2, 4] and order[-1]["variant"] == "base"
+    traced = json.loads(call("replay", file, 2, "--trace", "--json").output)
+    assert traced["digest"] == again["digest"] and any(" run " in line for line in traced["trace"])
     file.write_text(file.read_text().replace("6/s", "7/s"))
     other = call(*words, "--seeds", "2")
     assert other.exit_code == 1 and "another scenario" in other.output
