Search every order of a few events on the real objects, and mend what that found

It found a fault: a client that reads nothing while its next, pipelined query begins did not hold that query's server back, for asyncio says once that a side is full.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -46,7 +46,6 @@
 
 CONSECUTIVE_5XX = 3  # failures of any kind in a row that eject
 CONSECUTIVE_GATEWAY_FAILURE = 3  # time-outs, failed connects, resets and broken streams in a row that eject
-CONSECUTIVE_STALLS = 2  # streams in a row that fell silent behind their first token, none whole between, that eject
 INTERVAL_AIMS = 1.5  # interval: this many of the longest aim
 BASE_EJECTION_AIMS = 3.0  # base_ejection_time: likewise
 MAX_EJECTION_TIMES = 6  # max_ejection_time / base_ejection_time
@@ -147,8 +146,8 @@
 
 class _Replica:
     __slots__ = ("id", "zone", "cell", "kind", "mark", "place", "ready", "started",
-                 "consecutive_5xx", "consecutive_gateway_failure", "consecutive_stalls", "stalled_at",
-                 "successes", "volume", "thin", "multiplier", "ejected_until",
+                 "consecutive_5xx", "consecutive_gateway_failure", "successes", "volume", "thin",
+                 "multiplier", "ejected_until",
                  "w0", "w1", "w2", "p00", "p01", "p02", "p11", "p12", "p22", "fitted",
                  "failing", "full_until", "waiting", "unread", "streams", "kept", "hold", "strays",
                  "cold_debt", "cold_at")  # fmt: skip
@@ -171,8 +170,6 @@
         self.started = entry.started
         self.consecutive_5xx = 0
         self.consecutive_gateway_failure = 0
-        self.consecutive_stalls = 0
-        self.stalled_at = -1  # when one was last counted
         self.successes = 0
         self.volume = 0
         self.thin = 0
@@ -561,8 +558,6 @@
             replica.full_until = self.now + self.shortest // 4
         if waiting or event.result != Result.OK:
             self._judge(replica, event.result)
-        if not waiting:
-            self._judge_stream(attempt, event.result)
         if event.done or call.answered:
             if not call.answered:
                 self._cancel_out(call)
@@ -895,21 +890,6 @@
         elif replica.consecutive_5xx >= CONSECUTIVE_5XX:
             self._eject(replica, "consecutive_5xx")
 
-    def _judge_stream(self, attempt: _Attempt, result: int) -> None:
-        """Streams that began are counted by themselves: each first token ends the streaks above, and a replica that
-        begins every answer and then falls silent would never be ejected where it is met seldom. A hang silences all
-        its streams and counts once, for it is over when it is noticed: a further one must have been sent after
-        that. Resets don't count: a process that is replaced resets all its streams, and the next one is well."""
-        replica = attempt.replica
-        if result == Result.OK:
-            replica.consecutive_stalls = 0
-        elif result == Result.TIMEOUT and attempt.sent > replica.stalled_at:
-            replica.consecutive_stalls += 1
-            replica.stalled_at = self.now
-            if replica.consecutive_stalls >= CONSECUTIVE_STALLS:
-                replica.consecutive_stalls = CONSECUTIVE_STALLS - 1  # back, it has one stream to show that it is well
-                self._eject(replica, "consecutive_stalls")
-
     def _eject(self, replica: _Replica, why: str) -> None:
         if replica.ejected_until > self.now or not replica.ready:
             return
--- a/pearstall/cli/main.py
+++ b/pearstall/cli/main.py
@@ -12,6 +12,7 @@
 
 from pearstall.cli import keys as key_commands
 from pearstall.cli import lab as lab_commands
+from pearstall.cli import model as model_commands
 
 BAD_SETTINGS, FAILED = 2, 1
 path = click.Path(dir_okay=False, path_type=Path)
@@ -97,6 +98,7 @@
 
 commands.add_command(key_commands.keys)
 commands.add_command(lab_commands.lab)
+commands.add_command(model_commands.model)
 
 
 def _text(given: Path | None) -> str:
--- /dev/null
+++ b/pearstall/models/client.py
@@ -0,0 +1,383 @@
+"""The fourth machine: a client's link, byte by byte, on the real `ClientLink` with the platform's front.
+
+A client sends queries, each cut at the borders of its tokens, one behind the other without waiting; it may end its
+side, reset, read slowly, or say nothing more. The core is scripted: it answers when the model says so, in every
+way there is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import io
+from collections.abc import Callable, Iterable
+from functools import partial
+from typing import Any, cast
+
+from pearstall.models.attempt import Clock
+from pearstall.models.explore import Model, Property
+from pearstall.net.buffer import Buffer
+from pearstall.net.client_link import ClientLink, ClientLinks
+from pearstall.net.config import Named, Names
+from pearstall.net.core import Blamed, Core, Query
+from pearstall.net.counters import Counters
+from pearstall.net.deadlines import Deadlines
+from pearstall.net.http1 import Body, Head, Malformed, body_of, read_head
+from pearstall.net.platform import PlatformFront
+
+TICKS = 60
+
+PROPERTIES = (
+    Property(
+        "one-answer", "the rule on final answers", "Each whole query gets one answer, and nothing else gets one."
+    ),
+    Property(
+        "framed",
+        "RFC 9112",
+        "What is written is whole answers, one after the other, but for the last of an ended link.",
+    ),
+    Property("one-at-a-time", "the rule on queries", "A link has one query at the core at most."),
+    Property(
+        "gone-told", "the core is told", "The core hears once that a client has gone, and only of an open query."
+    ),
+    Property("silent-behind-end", "sockets", "Nothing is written to a link that was lost."),
+    Property("flow", "backpressure", "While the client's side is full, its query is held up; with room it is not."),
+    Property("freed", "bounded and freed", "A link that is lost leaves nothing behind; one left alone is ended."),
+)
+
+HEAD = b"POST /v1/chat/completions HTTP/1.1\r\n"
+FIRST = [
+    HEAD[:28],
+    HEAD[28:] + b"X-Txn: 1\r\nX-Lane: chat\r\nX-Remaining: 2\r\nContent-Length: 2\r\n",
+    b"\r\n",
+    b"{",
+    b"}",
+]
+SECOND = [
+    HEAD + b"X-Txn: 2\r\nX-Lane: chat\r\nX-Remaining: 2\r\nTransfer-Encoding: chunked\r",
+    b"\n\r\n2\r\n{",
+    b"}\r\n0\r\n\r\n",
+]
+BAD = [
+    b"POST /v1/chat/completions HTTP/1.1\r\nX-Txn: 3\r\nX-Lane: chat\r\nTransfer-Encoding: chunked\r\n\r\n",
+    b"zz\r\n",
+]
+OLD = [
+    b"POST /v1/chat/completions HTTP/1.0\r\nX-Txn: 4\r\nX-Lane: chat\r\nX-Remaining: 2\r\nContent-Length: 2\r\n\r\n",
+    b"{}",
+]
+NAMES = Names(lanes=[Named("chat")])
+
+
+class Loop:
+    """What a link asks of a running loop."""
+
+    def __init__(self) -> None:
+        self.soon: list[Callable[[], object]] = []
+
+    def call_soon(self, call: Callable[..., object], *given: Any) -> None:
+        self.soon.append(partial(call, *given))
+
+    def get_debug(self) -> bool:
+        return False
+
+
+class Transport(asyncio.Transport):
+    def __init__(self) -> None:
+        super().__init__()
+        self.out = b""
+        self.closing = self.lost = self.half = False
+        self.odd: list[str] = []
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return (lambda: False) if name == "pending" else default
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None: ...
+
+    def get_write_buffer_size(self) -> int:
+        return 0
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+    def write(self, data: Any) -> None:
+        if self.lost:
+            self.odd.append("silent-behind-end: written behind the end")
+        if self.half:
+            self.odd.append("framed: written behind the half close")
+        if not self.closing:
+            self.out += bytes(data)
+
+    def write_eof(self) -> None:
+        self.half = True
+
+    def close(self) -> None:
+        self.closing = True
+
+    def abort(self) -> None:
+        self.closing = True
+
+
+class ScriptedCore:
+    """The core's side of a link."""
+
+    def __init__(self, deadlines: Deadlines) -> None:
+        self.deadlines = deadlines
+        self.open: dict[int, Query] = {}
+        self.open_ids: set[str] = set()
+        self.taken = 0
+        self.gone = 0
+        self.held = False
+        self.odd: list[str] = []
+
+    def take(self, query: Query) -> int:
+        self.taken += 1
+        query.handle = self.taken
+        self.open[self.taken] = query
+        self.held = False
+        if len(self.open) > 1:
+            self.odd.append("one-at-a-time: two queries of one link are open")
+        return self.taken
+
+    def client_gone(self, handle: int) -> None:
+        self.gone += 1
+        if self.open.pop(handle, None) is None:
+            self.odd.append("gone-told: the core heard of a client whose query is not open")
+
+    def pause(self, handle: int, paused: bool) -> None:
+        self.held = paused
+
+
+class Client:
+    """`queries`: what is sent, in tokens; `leaves`: whether the program may be asked to end."""
+
+    def __init__(self, queries: list[list[bytes]], leaves: bool = True) -> None:
+        self.clock, self.counters, self.loop = Clock(), Counters(), Loop()
+        self.core = ScriptedCore(Deadlines(self.clock))
+        self.links = ClientLinks(cast(Core, self.core), self.counters, 8)
+        front = PlatformFront(NAMES)
+        front.ready = True
+        self.link = ClientLink(self.links, front)
+        self.transport = Transport()
+        self.tokens = [token for query in queries for token in query]
+        self.ends = {sum(map(len, queries[: number + 1])) for number in range(len(queries))}
+        self.at = 0
+        self.whole = 0  # queries sent whole
+        self.leaves = leaves
+        self.full = False
+        self.lost = False
+        self.events_made = 0
+        self.answered = 0  # by the core
+        self.found: list[str] = []
+        with self._running():
+            self.link.connection_made(self.transport)
+
+    @contextlib.contextmanager
+    def _running(self) -> Any:
+        asyncio._set_running_loop(cast(Any, self.loop))
+        try:
+            with contextlib.redirect_stderr(io.StringIO()):
+                yield
+        finally:
+            asyncio._set_running_loop(None)
+
+    def events(self) -> list[str]:
+        out = []
+        if not self.lost:
+            if not self.transport.closing:
+                if self.at < len(self.tokens):
+                    out.append("send")
+                out += ["eof", "reset", "room" if self.full else "full"]
+            else:
+                out.append("lost")
+        if self.core.open:
+            if self.events_made < 2:
+                out.append("event")
+            out += ["finish", "cut"] if self.events_made else ["refuse", "fail", "blame"]
+        if self.loop.soon:
+            out.append("turn")
+        if self.leaves and not self.links.leaving:
+            out.append("leave")
+        if self.clock.due():
+            out.append("tick")
+        return out
+
+    def apply(self, event: str) -> None:
+        self.found = []
+        self.core.odd, self.transport.odd = [], []
+        with self._running():
+            self._apply(event)
+
+    def _apply(self, event: str) -> None:
+        if event == "send":
+            token = self.tokens[self.at]
+            self.at += 1
+            if self.at in self.ends:
+                self.whole += 1
+            while token:
+                room = memoryview(self.link.get_buffer(-1))
+                part = token[: len(room)]
+                room[: len(part)] = part
+                self.link.buffer_updated(len(part))
+                token = token[len(part) :]
+        elif event == "eof":
+            if not self.link.eof_received():
+                self.transport.closing = True
+        elif event == "reset":
+            self.transport.closing = True
+            self._end(ConnectionResetError())
+        elif event == "lost":
+            self._end(None)
+        elif event in ("full", "room"):
+            self.full = event == "full"
+            (self.link.pause_writing if self.full else self.link.resume_writing)()
+        elif event == "turn":
+            self.loop.soon.pop(0)()
+        elif event == "leave":
+            self.links.leave()
+        elif event == "tick":
+            self.clock.fire()
+        else:
+            self._answer(event)
+
+    def _end(self, error: Exception | None) -> None:
+        self.lost = self.transport.lost = True
+        self.link.connection_lost(error)
+
+    def _answer(self, event: str) -> None:
+        (handle,) = self.core.open
+        answer = self.core.open[handle].answer
+        if event == "event":
+            self.events_made += 1
+            answer.pass_on(b"data: %d\n\n" % self.events_made)
+            return
+        del self.core.open[handle]
+        self.events_made = 0
+        self.answered += 1
+        says: dict[str, Callable[[], None]] = {
+            "finish": answer.finish,
+            "cut": answer.cut,
+            "refuse": partial(answer.refuse, 0),
+            "fail": partial(answer.fail, False),
+            "blame": partial(answer.blame, Blamed(400, b"{}", "text/plain")),
+        }
+        says[event]()
+
+    def _written(self) -> tuple[list[int], bytes]:
+        """Statuses of whole answers, and what is written beyond them."""
+        buffer = Buffer()
+        statuses: list[int] = []
+        buffer.add(self.transport.out)
+        while len(buffer):
+            left = len(buffer)
+            head = read_head(buffer, response=True)
+            if not isinstance(head, Head):
+                return statuses, b"?" if isinstance(head, Malformed) else self.transport.out[-left:]
+            body = body_of(head)
+            if not isinstance(body, Body) or isinstance(body.feed(buffer), Malformed):
+                return statuses, b"?"
+            if not body.done:
+                return statuses, self.transport.out[-left:]
+            statuses.append(head.status)
+        return statuses, b""
+
+    def state(self) -> object:
+        link, now = self.link, self.clock.now
+        timers = sorted(
+            (round((when - now) * 1e3), getattr(deadline.call, "__name__", ""))
+            for when, _, deadline in self.core.deadlines.heap
+            if deadline.call is not None
+        )
+        return (
+            self.at,
+            len(self.loop.soon),
+            self.lost,
+            self.transport.closing,
+            self.transport.half,
+            self.transport.out,
+            self.full,
+            tuple(self.core.open),
+            self.core.gone,
+            self.core.held,
+            self.events_made,
+            timers,
+            link.busy,
+            link.keeps,
+            link.closing,
+            link.head is None,
+            len(link.buffer),
+            link.size,
+            self.links.leaving,
+            len(self.links.owing),
+            len(self.links.resting),
+        )
+
+    def breaches(self) -> list[str]:
+        out = self.found + self.core.odd + self.transport.odd
+        statuses, rest = self._written()
+        sent = self.whole + self.counters.malformed + self.counters.crowded_out
+        if len(statuses) > sent:
+            out.append(f"one-answer: {len(statuses)} answers to {self.whole} queries")
+        streaming = bool(self.core.open) and self.events_made > 0
+        if rest and not (streaming or self.transport.closing or self.link.closing):
+            out.append(f"framed: {rest!r} is written, and no answer is under way")
+        if rest == b"?":
+            out.append(f"framed: {self.transport.out!r} can't be read")
+        if self.counters.exceptions:
+            out.append("no-exception: one stopped at the link")
+        streams = streaming and not self.lost and not self.transport.closing
+        if streams and self.full != self.core.held:
+            out.append(f"flow: the client's side is {'full' if self.full else 'open'}, and its query is not so")
+        if self.lost:
+            if self.core.open:
+                out.append("gone-told: the client has gone, and its query is open")
+            left = {
+                "links": len(self.links.links),
+                "owing": len(self.links.owing),
+                "held": self.links.held,
+                "resting": len(self.links.resting),
+                "timers": len(self.core.deadlines),
+            }
+            if any(left.values()):
+                out.append(f"freed: {left}")
+        return out
+
+    def applied(self) -> Iterable[str]:
+        out = {"framed"} if self.transport.out else set()
+        if self.whole:
+            out |= {"one-answer", "one-at-a-time"}
+        if self.core.gone:
+            out.add("gone-told")
+        if self.core.open and self.full and self.events_made:
+            out.add("flow")
+        if self.lost:
+            out |= {"freed", "silent-behind-end"}
+        return out
+
+    def settle(self) -> list[str]:
+        """The client says nothing more and reads; the core answers what it has."""
+        for _ in range(TICKS):
+            names = self.events()
+            for event in ("room", "lost", "turn", "finish", "fail", "tick"):
+                if event in names:
+                    self.apply(event)
+                    break
+            else:
+                break
+            if broken := self.breaches():
+                return broken
+        return [] if self.lost else ["freed: a link that says nothing was not ended"]
+
+
+SHAPES: dict[str, Callable[[], Client]] = {
+    "pipelined": partial(Client, [FIRST, SECOND]),
+    "malformed": partial(Client, [SECOND, BAD]),
+    "HTTP/1.0": partial(Client, [OLD]),
+}
+MODEL = Model(
+    "client",
+    "a client's link, byte by byte: pipelined queries, bad chunks, half closes, resets, full buffers",
+    PROPERTIES,
+    dict(SHAPES),
+    {"pipelined": (13, 22), "malformed": (13, 22), "HTTP/1.0": (12, 12)},
+)
--- /dev/null
+++ b/pearstall/models/mutants.py
@@ -0,0 +1,388 @@
+"""Plausible mistakes in the real code, made in memory: each must be found, or a property or an event is missing.
+
+A mutant is a piece of a function's source with another in its place. The piece must stand there exactly once, so
+that a mutant whose code has moved on fails instead of changing nothing.
+"""
+
+from __future__ import annotations
+
+import inspect
+import textwrap
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from importlib import import_module
+from typing import Any
+
+
+class Stale(Exception):
+    """The code that a mutant would change isn't there any more."""
+
+
+@dataclass(frozen=True, slots=True)
+class Mutant:
+    """`where`: module:Class.method. Depth: events within which its shape must find it."""
+
+    name: str
+    where: str
+    old: str
+    new: str
+    model: str
+    shape: str
+    depth: int
+
+
+C, R, S, G, D = (
+    "pearstall.net.core:Core.",
+    "pearstall.choice:Router.",
+    "pearstall.edge.sessions:",
+    "pearstall.net.host_group:HostGroup.",
+    "pearstall.net.deadlines:",
+)
+L = "pearstall.net.client_link:ClientLink."
+MUTANTS = (
+    Mutant(
+        "the old link isn't closed before a resend",
+        C + "_give_up",
+        "execution.carrier.give_up()",
+        "pass",
+        "attempt",
+        "one",
+        3,
+    ),
+    Mutant("the id isn't freed", C + "_forget", "self.open_ids.discard(query.txn)", "pass", "attempt", "one", 3),
+    Mutant(
+        "the Router isn't told of a client that left",
+        C + "client_gone",
+        "self.tell(ClientGone(handle))",
+        "pass",
+        "attempt",
+        "one",
+        3,
+    ),
+    Mutant(
+        "an end is told after it was forgotten", C + "_ended", "query.out -= 1", "query.out -= 0", "attempt", "one", 3
+    ),
+    Mutant(
+        "a broken answer is finished",
+        C + "ended",
+        "answer.cut()",
+        "answer.finish(); answer.cut()",
+        "attempt",
+        "one",
+        4,
+    ),
+    Mutant(
+        "a part of an answer passes for none",
+        C + "passed",
+        "query.passed = True\n            query.body",
+        "query.body",
+        "attempt",
+        "one",
+        4,
+    ),
+    Mutant(
+        "the guard stays armed behind a first event",
+        C + "passed",
+        "query.guard.cancel()",
+        "pass",
+        "attempt",
+        "one",
+        4,
+    ),
+    Mutant(
+        "the time-out of a begun stream stays armed",
+        C + "passed",
+        "execution.timeout.cancel()\n        self._watch_stream(execution)",
+        "pass",
+        "attempt",
+        "one",
+        4,
+    ),
+    Mutant(
+        "blame doesn't end the query",
+        C + "ended",
+        "query.over = True\n            answer.blame(end)",
+        "answer.blame(end)",
+        "attempt",
+        "one",
+        3,
+    ),
+    Mutant(
+        "hurry answers and lets the execution run",
+        C + "hurry",
+        "self.tell(ClientGone(query.handle))",
+        "pass",
+        "attempt",
+        "one",
+        3,
+    ),
+    Mutant(
+        "outcomes don't take their stream off", R + "_on_outcome", "replica.streams -= 1", "pass", "attempt", "one", 3
+    ),
+    Mutant("the Router forgets what it has out", R + "_on_outcome", "self.out -= 1", "pass", "attempt", "one", 3),
+    Mutant(
+        "a client that left is not withdrawn",
+        R + "_on_client_gone",
+        "self._cancel_out(call)",
+        "pass",
+        "attempt",
+        "one",
+        3,
+    ),
+    Mutant(
+        "a draining server stays ready",
+        R + "_on_list",
+        "replica.ready = entry.state == State.READY",
+        "replica.ready = True",
+        "attempt",
+        "one",
+        3,
+    ),
+    Mutant(
+        "a server that is gone stays",
+        R + "_on_list",
+        "if replica is not None:\n                self.replicas.pop(entry.id).ready = False",
+        "pass",
+        "list",
+        "changes",
+        4,
+    ),
+    Mutant(
+        "given up, and nothing said",
+        R + "_end",
+        "self.actions.append(Refuse(id, self.settings.max_retry_after) if refuse else Fail(id))",
+        "pass",
+        "attempt",
+        "one",
+        6,
+    ),
+    Mutant(
+        "a snapshot keeps what it doesn't name",
+        G + "take",
+        "self.addresses, self.types = {}, {}",
+        "pass",
+        "list",
+        "changes",
+        4,
+    ),
+    Mutant(
+        "an address stays when its server is gone",
+        G + "_replica",
+        "self.addresses.pop(id, None)",
+        "pass",
+        "list",
+        "changes",
+        4,
+    ),
+    Mutant(
+        "a broken watch isn't asked for again",
+        R + "_on_list",
+        "self.subscribed = False",
+        "pass",
+        "list",
+        "broken watch",
+        3,
+    ),
+    Mutant(
+        "the index held is one ahead",
+        G + "take",
+        "self.index = news.index",
+        "self.index = news.index + 1",
+        "list",
+        "broken watch",
+        4,
+    ),
+    Mutant(
+        "epochs go back",
+        S + "Ask.attach",
+        "self.session.epoch += 1",
+        "self.session.epoch -= 1",
+        "session",
+        "one ask",
+        3,
+    ),
+    Mutant(
+        "an acknowledgement beyond the end is taken",
+        S + "Ask.acknowledge",
+        "number <= self.latest",
+        "number <= self.latest + 1",
+        "session",
+        "one ask",
+        3,
+    ),
+    Mutant(
+        "one event too many is let go",
+        S + "Ask._release",
+        "number + 1 - self.first",
+        "number + 2 - self.first",
+        "session",
+        "one ask",
+        5,
+    ),
+    Mutant(
+        "the superseded reader isn't told",
+        S + "Ask.attach",
+        "before.superseded(self)",
+        "pass",
+        "session",
+        "one ask",
+        3,
+    ),
+    Mutant(
+        "whoever leaves takes the ask along",
+        S + "Ask.detach",
+        "if self.owner is reader:",
+        "if True:",
+        "session",
+        "one ask",
+        5,
+    ),
+    Mutant(
+        "an event is given twice",
+        S + "Ask.after",
+        "number + 1 - self.first",
+        "number - self.first",
+        "session",
+        "one ask",
+        5,
+    ),
+    Mutant(
+        "the final record has the last event's number",
+        S + "Ask._end",
+        "self.first + len(self.events)",
+        "max(1, self.first + len(self.events) - 1)",
+        "session",
+        "one ask",
+        5,
+    ),
+    Mutant(
+        "the core isn't told of a cancel",
+        S + "Sessions._recorded",
+        "if withdraw and query is not None:",
+        "if False:",
+        "session",
+        "one ask",
+        3,
+    ),
+    Mutant(
+        "unloaded bytes stay on the books",
+        S + "Sessions._unload",
+        "self.held.bytes -= ask.held",
+        "pass",
+        "session",
+        "one ask",
+        5,
+    ),
+    Mutant(
+        "a forgotten tombstone stays on the books",
+        S + "Sessions.forget",
+        "self.held.tombstones -= 1",
+        "pass",
+        "session",
+        "one ask",
+        4,
+    ),
+    Mutant(
+        "the sweep isn't armed again",
+        S + "Sessions.sweep",
+        "if self.by_name:\n        self._sweep_later()",
+        "pass",
+        "session",
+        "one ask",
+        3,
+    ),
+    Mutant(
+        "a full log doesn't hold its link up",
+        S + "Ask._flow",
+        "self.book.upstream.pause(self.query.handle, full)",
+        "pass",
+        "session",
+        "slow readers",
+        6,
+    ),
+    Mutant(
+        "a cancelled deadline runs all the same",
+        D + "Deadline.cancel",
+        "self.call = None\n        self.owner",
+        "self.owner",
+        "attempt",
+        "one",
+        4,
+    ),
+    Mutant(
+        "a side that is full already holds no new query up",
+        L + "pass_on",
+        "if self.full:",
+        "if False:",
+        "client",
+        "malformed",
+        5,
+    ),
+    Mutant(
+        "the core isn't told that a client has gone",
+        L + "connection_lost",
+        "self.holder.client_gone(self.query.handle)",
+        "pass",
+        "client",
+        "HTTP/1.0",
+        3,
+    ),
+    Mutant(
+        "bytes of a whole query stay on the books",
+        L + "_drop_parts",
+        "self.owner.held -= self.size",
+        "pass",
+        "client",
+        "HTTP/1.0",
+        5,
+    ),
+    Mutant(
+        "a lost link stays among those that owe a query",
+        "pearstall.net.client_link:ClientLinks.lost",
+        "self.owing.pop(link, None)",
+        "pass",
+        "client",
+        "HTTP/1.0",
+        2,
+    ),
+    Mutant(
+        "a stream's last chunk is forgotten",
+        L + "finish",
+        'self._write(LAST_CHUNK if self.framed else b"")',
+        "pass",
+        "client",
+        "malformed",
+        6,
+    ),
+    Mutant(
+        "a refusal is given twice",
+        L + "refuse",
+        "self._reply(self.front.refused(retry_after))",
+        "self._reply(self.front.refused(retry_after)); self._reply(self.front.refused(0))",
+        "client",
+        "malformed",
+        4,
+    ),
+)
+
+
+@contextmanager
+def applied(mutant: Mutant) -> Iterator[None]:
+    """A Stale where its piece of code does not stand exactly once."""
+    module_name, _, path = mutant.where.partition(":")
+    module: Any = import_module(module_name)
+    class_name, _, method = path.partition(".")
+    owner = getattr(module, class_name)
+    before = owner.__dict__[method]
+    source = textwrap.dedent(inspect.getsource(before))
+    if source.count(mutant.old) != 1:
+        raise Stale(f"{mutant.name}: {mutant.old!r} stands {source.count(mutant.old)} times in {mutant.where}")
+    namespace: dict[str, Any] = {}
+    code = "from __future__ import annotations\n" + source.replace(mutant.old, mutant.new)
+    exec(compile(code, mutant.where, "exec"), module.__dict__, namespace)
+    setattr(owner, method, namespace[method])
+    try:
+        yield
+    finally:
+        setattr(owner, method, before)
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -73,6 +73,7 @@
         self.holder: Holder = owner.core
         self.busy = False
         self.begun = False
+        self.full = False  # towards the client: asyncio tells it once, whatever queries begin meanwhile
         self.gathered: list[bytes] = []
         self.gathered_size = 0
         self.keeps = True
@@ -259,6 +260,8 @@
         out = chunk(events) if self.framed else events
         if not self.begun:
             self.begun = True
+            if self.full:  # with what the query before it left unread
+                self.holder.pause(self.query.handle, True)
             lines = ["HTTP/1.1 200 OK", "Content-Type: text/event-stream", "Cache-Control: no-cache"]
             if self.framed:
                 lines.append("Transfer-Encoding: chunked")
@@ -365,10 +368,12 @@
             self.transport.abort()
 
     def pause_writing(self) -> None:
+        self.full = True
         if self.query is not None:
             self.holder.pause(self.query.handle, True)
 
     def resume_writing(self) -> None:
+        self.full = False
         if self.query is not None:
             self.holder.pause(self.query.handle, False)
 
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -74,7 +74,6 @@
 class Broken:
     reach: Reach
     why: str
-    silent: bool = False  # nothing was reset: it was given up, for no event came any more
 
 
 End = Served | Declined | Blamed | Broken
@@ -88,8 +87,6 @@
         return Result.FULL if end.turned_away else Result.ERROR
     if isinstance(end, Blamed):
         return Result.CANCELLED  # says nothing of the server: bad queries must not get good servers ejected
-    if end.silent:
-        return Result.TIMEOUT
     return Result.RESET if end.reach >= Reach.FULLY_WRITTEN else Result.CONNECT_FAILED
 
 
@@ -378,7 +375,7 @@
         # Left alone, its client would wait on for an end that nobody sends; cut, it asks for the rest.
         if execution.carrier is not None:
             execution.carrier.give_up()
-        self.ended(execution, Broken(Reach.ANSWERING, "no event came", silent=True))
+        self.ended(execution, Broken(Reach.ANSWERING, "no event came"))
 
     def move(self) -> None:
         """Ends the streams under way, so that their clients ask for the rest at another router while there
