Keep a session model's memory in its events, not in the look at its properties

A state is restored by replaying its events; what the model remembered while properties were looked at was missing from then on, and the long search told a breach that was none. The memory is kept by the events now, and the timers' run to rest stands once.

--- a/pearstall/models/attempt.py
+++ b/pearstall/models/attempt.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from pearstall.interface import ListKind, Replica, ReplicaList, Settings, State
-from pearstall.models.explore import Model, Property
+from pearstall.models.explore import Model, Property, run_out
 from pearstall.net.core import Blamed, Broken, Core, Declined, Execution, Query, Reach, Served
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadlines
@@ -25,7 +25,6 @@
 AIM, GIVE_UP = 1.0, 2.0  # seconds
 LATE = 0.05
 MOST = 3
-TICKS = 300
 
 PROPERTIES = (
     Property("one-final", "the rule on final answers", "A query is finally answered once at most."),
@@ -464,12 +463,8 @@
 
     def settle(self) -> list[str]:
         """Servers say nothing more, and no client asks again: timers alone must bring everything to its end."""
-        for _ in range(TICKS):
-            if not self.clock.due():
-                break
-            self.apply("tick")
-            if broken := self.breaches():
-                return broken
+        if broken := run_out(self, self.clock.due):
+            return broken
         open = [_name(asked) for asked in self.asked if asked.query is not None and not asked.over]
         if open:
             return [f"answered: {', '.join(open)} never came to an end"]
--- a/pearstall/models/client.py
+++ b/pearstall/models/client.py
@@ -167,7 +167,6 @@
         self.full = False
         self.lost = False
         self.events_made = 0
-        self.answered = 0  # by the core
         self.found: list[str] = []
         with self._running():
             self.link.connection_made(self.transport)
@@ -253,7 +252,6 @@
             return
         del self.core.open[handle]
         self.events_made = 0
-        self.answered += 1
         says: dict[str, Callable[[], None]] = {
             "finish": answer.finish,
             "cut": answer.cut,
--- a/pearstall/models/explore.py
+++ b/pearstall/models/explore.py
@@ -135,6 +135,17 @@
         return [f"{NO_EXCEPTION.name}: {type(error).__name__}: {error}"]
 
 
+def run_out(machine: Machine, due: Callable[[], bool], most: int = 300) -> list[str]:
+    """Fires timers until none is due; the first breach on the way."""
+    for _ in range(most):
+        if not due():
+            break
+        machine.apply("tick")
+        if broken := machine.breaches():
+            return broken
+    return []
+
+
 def kind_of(event: str) -> str:
     return event.partition(" ")[0]
 
--- a/pearstall/models/session.py
+++ b/pearstall/models/session.py
@@ -17,11 +17,10 @@
 from pearstall.edge.states import HELD, RUNNING
 from pearstall.edge.states import State as At
 from pearstall.models.attempt import Clock
-from pearstall.models.explore import Model, Property
+from pearstall.models.explore import Model, Property, run_out
 from pearstall.net.core import Query
 from pearstall.net.deadlines import Deadlines
 
-TICKS = 200
 BOUNDS = Bounds(linger=2.0, keep=4.0, remember=6.0, idle=8.0, ask_events=2, device_tombstones=2, device_asks=2)
 
 PROPERTIES = (
@@ -204,6 +203,25 @@
             self._of_reader(kind, *rest.split(" "))
         else:
             self._of_ask(kind, rest)
+        self._remember()
+
+    def _remember(self) -> None:
+        """What must never change is compared with what it was. Here and not in `breaches`: a state that is restored
+        by replay has only had its events applied."""
+        session = self.sessions.find("d", "t")
+        for id in self.ids:
+            found = self._ask(id)
+            stands = found.final if found is not None else None
+            if stands is None:
+                continue
+            before = self.stands.setdefault(id, stands)
+            self.since.setdefault(id, self.clock.now)
+            if (before.number, before.kind, before.reason) != (stands.number, stands.kind, stands.reason):
+                self.found.append(f"one-final: {id} had {before}, and now has {stands}")
+        if session is not None:
+            if session.epoch < self.epoch:
+                self.found.append(f"epoch: from {self.epoch} back to {session.epoch}")
+            self.epoch = session.epoch
 
     def _of_reader(self, kind: str, id: str, name: str) -> None:
         found = self._ask(id)
@@ -310,25 +328,13 @@
 
     def breaches(self) -> list[str]:
         out = self.found + self.core.odd
-        sessions = self.sessions
-        session = sessions.find("d", "t")
         finals = [row["ask"] for name, row in self.notes if name == "final"]
         for id in self.ids:
             if finals.count(id) > 1:
                 out.append(f"one-final: the final record of {id} was made {finals.count(id)} times")
             found = self._ask(id)
-            stands = found.final if found is not None else None
-            if stands is not None:
-                before = self.stands.setdefault(id, stands)
-                self.since.setdefault(id, self.clock.now)
-                if (before.number, before.kind, before.reason) != (stands.number, stands.kind, stands.reason):
-                    out.append(f"one-final: {id} had {before}, and now has {stands}")
             if isinstance(found, Ask):
                 out += self._of(id, found)
-        if session is not None:
-            if session.epoch < self.epoch:
-                out.append(f"epoch: from {self.epoch} back to {session.epoch}")
-            self.epoch = session.epoch
         return out + self._books()
 
     def _of(self, id: str, ask: Ask) -> list[str]:
@@ -393,12 +399,8 @@
                 self.apply(f"detach {id} {name}")
                 if broken := self.breaches():
                     return broken
-        for _ in range(TICKS):
-            if not self.clock.due():
-                break
-            self.apply("tick")
-            if broken := self.breaches():
-                return broken
+        if broken := run_out(self, self.clock.due):
+            return broken
         held = {
             "sessions": len(self.sessions.by_name),
             "queries": len(self.core.open),
