Reckon a session's later turns in what a scenario will cost

`lab check` counted every turn of every session, also those that fall behind the run's end: it said 1,656 asks where 814 came.

--- a/pearstall/lab/scenarios.py
+++ b/pearstall/lab/scenarios.py
@@ -194,13 +194,22 @@
         out.settings[name] = value
 
 
+def _turns(klass: Klass, seconds: float) -> float:
+    """Asks that one session comes to, within a run of so many seconds: its k-th further turn is there with a chance
+    of exp(-k / turns), and falls into the run only where the session began early enough."""
+    apart = klass.wanted * 0.02 + klass.think
+    further = range(1, int(seconds / apart) + 1) if klass.turns else ()
+    return 1 + sum(math.exp(-k / klass.turns) * (1 - k * apart / seconds) for k in further)
+
+
 def cost(scenario: Scenario, per_second: float = 22_000.0) -> dict[str, float]:
     """What a run will come to, before it runs: asks, callbacks of the loop and seconds of one core.
 
     `per_second`: callbacks a core does a second; measured by `benchmarks/laboratory.py`."""
     asks = sum(scenario.rate(n * 0.1) for n in range(int(scenario.seconds * 10))) * 0.1
-    turns = 1 + sum(klass.share * klass.turns for klass in scenario.classes) / sum(k.share for k in scenario.classes)
-    asks *= turns
+    asks *= sum(klass.share * _turns(klass, scenario.seconds) for klass in scenario.classes) / sum(
+        klass.share for klass in scenario.classes
+    )
     wanted = sum(k.share * k.wanted for k in scenario.classes) / sum(k.share for k in scenario.classes)
     steps = scenario.seconds / 0.02 * min(scenario.servers, max(1.0, asks / scenario.seconds * wanted * 0.02))
     callbacks = asks * (14 + 3 * wanted / scenario.engine.emit) + steps
