--- a/pearstall/lab/devices.py
+++ b/pearstall/lab/devices.py
@@ -82,7 +82,6 @@
     forgotten: int = 0  # asks of a router that was killed: asked anew
     moves: int = 0
     waits: list[float] = field(default_factory=list)  # from asking to holding the final record
-    codes: Counter[str] = field(default_factory=Counter)
 
 
 def operators_of(settings: EdgeSettings, host: str, klass: str) -> Operators:
@@ -208,7 +207,6 @@
                 told = await self._fetch(held)
             if told is None or held.final is not None:
                 break
-            books.codes[told] += 1
             if self.router.starts == starts or world.loop.now > limit:
                 held.breaches.append(f"told {told}")
                 return
--- a/pearstall/lab/loopback.py
+++ b/pearstall/lab/loopback.py
@@ -23,7 +23,6 @@
         self.hosts: dict[str, str] = {}
         self.base = 16 + os.getpid() % 200  # two runs at once keep out of each other's way
         self.number = 0
-        self.errors: list[dict[str, Any]] = []
 
     @property
     def now(self) -> float:
