Keep sessions at homes that all routers agree on, in all zones together

Of 1,909 later turns 167 went to the server of the turn before, 1,427 to another zone. Each router's own log says why:

PROBE far crowded zone0 homes2 ring8 home 1486043=597154+888888 ... best 600075=600075+0 ... room 0.67 PROBE far crowded zone0 homes2 ring8 home 95876=95876+0 ... best 95876=95876+0 ... room 0.18

Three things, harmless in one router. _choose: an own stream stood for groupSize streams, so that one at the home cost 0.9 s of the pick (2 s before 200 routers). _slots: where the room is under one stream a router, homes were closed to all routers but those of luck, for good. _find_homes: homes stood in each zone, so a server was home to as many times more beginnings as there are zones; and a share counted from one request in 21 gave 7 homes where another router saw 2, so that two routers did not agree on a session's.

Changed: an own stream stands for as many as chance allows; homes take one stream of each router whatever the room; one ring over all zones, and the number of homes in powers of two, shrunk to four.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -74,7 +74,8 @@
 HOME_SPREAD = 4.0  # homes of a prefix: this many times its share of the requests, of the zone's replicas
 HOME_LEAST = 2  # and so many at least
 HOME_MOST = 32  # and so many at most are asked for a session's home
-HOME_PRIOR = 20.0  # requests that a share is counted against before there are any
+HOME_USUAL = 4.0  # homes of a prefix while little is known of its share
+HOME_PRIOR = 100.0  # and for how many requests that stands
 HOME_FADE = 0.95  # what an interval leaves of the requests counted for a prefix
 DECODE_TOKENS = 1000.0  # the work of an answer, as prompt tokens to read
 
@@ -150,7 +151,7 @@
     """A request this gateway has taken, until it is answered and its attempts have ended."""
 
     __slots__ = ("request", "klass", "born", "aim_at", "earn_by", "attempts", "out", "answered", "streaming",
-                 "hedge_at", "homes_zone", "homes_from", "homes", "session_home", "homes_by_zone")  # fmt: skip
+                 "hedge_at", "homes_ring", "homes_from", "homes", "session_home")  # fmt: skip
 
     def __init__(self, request: Request, klass: RequestClass, born: int) -> None:
         self.request = request
@@ -164,11 +165,10 @@
         self.answered = False
         self.streaming = False
         self.hedge_at = 0
-        self.homes_zone = -1  # the zone of the homes that follow
-        self.homes_from = 0  # the place on its ring where the homes of the prefix begin
+        self.homes_ring: list[_Replica] | None = None  # that the homes were found on
+        self.homes_from = 0  # the place there where the homes of the prefix begin
         self.homes = 0  # how many they are
         self.session_home = -1  # the place of the session's
-        self.homes_by_zone: dict[int, tuple[int, int, int]] = {}  # these three, once found for the attempt to come
 
 
 class _Replica:
@@ -288,7 +288,7 @@
         self.holders: dict[int, list[int]] = {}  # session or ~prefix: ids of replicas believed to hold it
         self.asked_prefix: dict[int, float] = {}  # recent requests of each prefix here
         self.asked_prefixes = 0.0  # and their sum
-        self.rings: list[list[_Replica]] = [[] for _ in range(settings.zones)]  # ready, in an order by hash
+        self.ring: list[_Replica] = []  # ready, of all zones, in an order by hash; a new one at each change
         self.session_kept = 0.5  # share of a prompt found kept at its session's home
         self.home_kept = 0.5  # share of a prefix found kept at its homes, where others must have brought it
         self.work_sent = 0.0  # since the last sweep
@@ -375,8 +375,7 @@
         if left <= 0 or len(call.attempts) >= self.settings.max_attempts or not self._may_resend(call):
             self._end(call)
             return
-        call.homes_zone = -1
-        call.homes_by_zone.clear()  # the rings may have changed since the last attempt
+        call.homes_ring = None  # shares have changed since the last attempt
         replica, predicted = self._choose(call, left)
         if replica is None:
             self._hold(call, left)
@@ -410,11 +409,9 @@
         """How many own streams it may have. Streams share a replica's steps and memory: past some number of them each
         further one makes all slower, and first tokens stop coming. How many that is, is learned from how late these
         come. Where it is less than one for a gateway, each of them uses a part of the replicas, another one each."""
-        if call.homes_zone != replica.zone:
-            self._find_homes(call, replica.zone)
-        home = call.session_home == replica.place or self._at_home(replica, call)
+        home = self._at_home(replica, call) or call.session_home == replica.place
         room = self.room * (ROOM_HOME if home else ROOM_AWAY)
-        if not self.crowded and room < 1.0:
+        if room < 1.0 and (home or not self.crowded):
             room = 1.0  # a part of the replicas costs what the others keep: not before there is need
         return int(room * self._likely(replica) + replica.luck)
 
@@ -692,11 +689,15 @@
     def _choose(self, call: _Call, left: int) -> tuple[_Replica | None, float]:
         """The lower prediction of two random replicas; holders of the prompt's beginning stand beside."""
         mean = self.out / max(1, len(self.near) + len(self.far))
-        # Each own stream stands for as many as there are gateways; many gateways see few streams each.
-        self.crowding = CROWDING * self.shortest / (CROWD_START / self.settings.gateways + mean)
+        # An own stream tells of others there, though not of as many as there are gateways: where each has few, one
+        # more or less is chance. Loads that scatter by about their mean make it stand for so many.
+        gateways = self.settings.gateways
+        others = gateways * mean
+        stands_for = gateways * max(1.0, others) / (gateways + max(1.0, others))
+        self.crowding = CROWDING * self.shortest * stands_for / (CROWD_START + others)
         best, time = self._look(call, self.near, None, float("inf"))
         best, time = self._look_home(call, True, best, time)
-        best, time = self._look_arc(call, self.settings.zone, best, time)
+        best, time = self._look_arc(call, best, time)
         if self.cold:
             # Those that may be sent something just now are few: by chance alone they'd hardly be met.
             n, found = len(self.cold), 0
@@ -705,7 +706,7 @@
                 one = self.cold[(start + step) % n]
                 young = self.now - one.started < self.settings.cold_time  # the list is as old as the last change
                 if young and one.ejected_until <= self.now and self._open(call, one):
-                    weighed = self._weigh(one, call) + (self.crossing if one.zone != self.settings.zone else 0.0)
+                    weighed = self._weigh(one, call) + self._apart(one)
                     if weighed < time:
                         best, time = one, weighed
                     found += 1
@@ -714,8 +715,6 @@
         if self.far and time > self.crossing:
             other, apart = self._look(call, self.far, None, time - self.crossing)
             other, apart = self._look_home(call, False, other, apart)
-            zone = self.far[int(self.random() * len(self.far))].zone
-            other, apart = self._look_arc(call, zone, other, apart)
             best = best if other is None else other
         if best is None:
             # Both draws may be barred (tried, full, cold, out of group): look at all before giving up.
@@ -743,14 +742,13 @@
                     best, time = replica, weighed
         return best, time
 
-    def _look_arc(self, call: _Call, zone: int, best: _Replica | None, time: float) -> Any:
+    def _look_arc(self, call: _Call, best: _Replica | None, time: float) -> Any:
         """Two random homes of the prefix and the home of the session stand beside. All gateways agree on them
-        without a word; spread over all replicas, each would have to read every prefix."""
-        ring = self.rings[zone]
+        without a word; spread over all replicas, each would have to read every prefix, and homes in each zone would
+        keep it once a zone. A crossing costs less than reading what another zone has."""
+        ring = self._find_homes(call)
         if not ring:
             return best, time
-        if call.homes_zone != zone:
-            self._find_homes(call, zone)
         places = [call.session_home] if call.request.session else []
         if call.homes:
             one = int(self.random() * call.homes)
@@ -760,24 +758,27 @@
             replica = ring[place % len(ring)]
             if replica is best or replica.ejected_until > self.now or not self._open(call, replica):
                 continue
-            weighed = self._weigh(replica, call)
+            weighed = self._weigh(replica, call) + self._apart(replica)
             if weighed < time:
                 best, time = replica, weighed
         return best, time
 
-    def _find_homes(self, call: _Call, zone: int) -> None:
-        """The homes of a prefix are an arc of a zone's ring, and the session's is one of them."""
-        call.homes_zone = zone
-        if (known := call.homes_by_zone.get(zone)) is not None:
-            call.homes_from, call.homes, call.session_home = known
-            return
-        request, n = call.request, len(self.rings[zone])
+    def _find_homes(self, call: _Call) -> list[_Replica]:
+        """The homes of a prefix are an arc of the ring, and the session's is one of them."""
+        ring = self.ring
+        if call.homes_ring is ring:
+            return ring
+        call.homes_ring = ring
+        request, n = call.request, len(ring)
         call.homes_from, call.homes, call.session_home = 0, 0, -1
-        ring = self.rings[zone]
         if request.prefix:
             call.homes_from = bisect_left(ring, _mix(request.prefix), key=_mark)
-            share = self.asked_prefix.get(request.prefix, 0.0) / (HOME_PRIOR + self.asked_prefixes)
-            call.homes = min(n, max(HOME_LEAST, int(HOME_SPREAD * share * n)))
+            # Few requests tell little of a share, and gateways that differ in it differ in a session's home.
+            spread = HOME_SPREAD * n * self.asked_prefix.get(request.prefix, 0.0) + HOME_PRIOR * HOME_USUAL
+            least = HOME_LEAST
+            while least < min(n, spread / (HOME_PRIOR + self.asked_prefixes)):
+                least *= 2
+            call.homes = min(n, least)
         if request.session and n:
             # By rendezvous among the homes: a replica that comes or goes moves its own sessions only.
             session, most = request.session, -1
@@ -785,7 +786,10 @@
                 mixed = _mix(ring[place % n].mark ^ session)
                 if mixed > most:
                     call.session_home, most = place % n, mixed
-        call.homes_by_zone[zone] = call.homes_from, call.homes, call.session_home
+        return ring
+
+    def _apart(self, replica: _Replica) -> float:
+        return self.crossing if replica.zone != self.settings.zone else 0.0
 
     def _look_home(self, call: _Call, near: bool, best: _Replica | None, time: float) -> Any:
         zone = self.settings.zone
@@ -860,9 +864,7 @@
     def _unread(self, replica: _Replica, call: _Call) -> float:
         """Prompt tokens it will have to read, as far as this gateway knows what it keeps."""
         request = call.request
-        zone = replica.zone
-        if call.homes_zone != zone:
-            self._find_homes(call, zone)
+        self._find_homes(call)
         kept = 0.0
         since = self.now - replica.hold
         if request.session:
@@ -883,7 +885,7 @@
         return unread if unread > 0 else 0.0
 
     def _at_home(self, replica: _Replica, call: _Call) -> bool:
-        n = len(self.rings[replica.zone])
+        n = len(self._find_homes(call))
         return n > 0 and (replica.place - call.homes_from) % n < call.homes
 
     def _predict(self, replica: _Replica, call: _Call) -> float:
@@ -978,13 +980,12 @@
             return
         replica = attempt.replica
         share = min(1.0, kept_tokens / request.prefix_tokens)
-        if call.homes_zone != replica.zone:
-            self._find_homes(call, replica.zone)
+        at_home = self._at_home(replica, call)
         if request.session and call.session_home == replica.place:
             share_of_all = kept_tokens / max(1.0, request.prompt_tokens)
             self.session_kept += 0.05 * (share_of_all - self.session_kept)
         if attempt.age < 0:
-            if self._at_home(replica, call):
+            if at_home:
                 self.home_kept += 0.05 * (share - self.home_kept)
             else:
                 replica.strays += 0.1 * (share - replica.strays)
@@ -1142,12 +1143,9 @@
             replica.zone = entry.zone if entry.zone < self.settings.zones else self.settings.zone
             replica.cell = entry.cell
             replica.ready = entry.state == State.READY
-        for ring in self.rings:
-            ring.clear()
-        for replica in sorted(self.replicas.values(), key=_mark):
-            if replica.ready:
-                replica.place = len(self.rings[replica.zone])
-                self.rings[replica.zone].append(replica)
+        self.ring = sorted((replica for replica in self.replicas.values() if replica.ready), key=_mark)
+        for place, replica in enumerate(self.ring):
+            replica.place = place
         self._rebuild()
 
     def _subscribe(self) -> None:
