Send nothing again without the time for a first token, and follow a request over all logs

One request, followed by its X-Txn through routers n0 and n145 and its client's tries:

At fault in choice.py: _hopeless let a scout go wherever nothing had been learned of a replica, which in one router is rare and before 200 routers the rule: an execution with a microsecond left, over a connection that costs a handshake. And _send gave attempts up early for another's sake also where most time out, so that the same prompt was read twice. Ruled out: the lists (210 of 210 watch), refused connects (under 3 a second from 14 s on).

The trace names each query's X-Txn.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -1,11 +1,15 @@
 """Counts over all routers of a fleet, from their traces: `python -m pearstall --trace`, one log a router.
 
     python benchmarks/fleet.py FOLDER [--json] [--plots FOLDER]
+    python benchmarks/fleet.py FOLDER --follow TXN
 
 A row a second: what came, was sent (also to cold servers), tried again, refused, began and failed; connects; routers
 that hold a watch, calls to discovery. Then first tokens by the streams that their server had out, from all routers
 together, when they were sent; and over the whole run connects to one server, ejections by the failure before them,
-waits for lists, starts, CPU.
+waits for lists, starts, CPU. `turns`: where the turns of sessions went, and how much of their prompts was kept there.
+
+`--follow` prints every line that any router has of one request by its `X-Txn`, and of its client's other tries: they
+ask for the same prompt of the same session under ids of their own.
 """
 
 from __future__ import annotations
@@ -68,6 +72,9 @@
         self.waits: list[float] = []
         self.starts: list[float] = []
         self.cpu: dict[tuple[int, int], float] = {}
+        self.zones: dict[int, int] = {}
+        self.turns: dict[int, int] = {}  # the server that answered a session's last turn
+        self.moved: dict[str, list[float]] = defaultdict(list)  # shares kept, by where the turn before went
 
     def tell(self, second: int, who: int, row: list[Any]) -> None:
         now, (kind, at, *rest) = self.seconds[second], row
@@ -83,7 +90,7 @@
             self.connects[rest[1], second] += rest[0] == "connect"
         elif kind == "ReplicaList":
             self._listed(at, who, *rest)
-        else:
+        elif kind != "query":
             self._event(second, at, who, kind, *rest)
         self.watches[second] = len(self.watching)
         self.most[second] = max(self.out.values(), default=0)
@@ -95,6 +102,7 @@
             self.watching.add(who)
         if kind != ListKind.CACHED and who in self.asked:
             self.waits.append((at - self.asked.pop(who)) / 1e6)
+        self.zones |= {id: zone for id, zone, _, _, _ in entries}
         self.started |= {id: since for id, _, _, state, since in entries if state == State.READY}
 
     def _event(self, second: int, at: int, who: int, kind: str, event: dict[str, Any], actions: list[Any]) -> None:
@@ -117,6 +125,7 @@
                 if call is not None and call["prompt_tokens"]:
                     self.kept[second].append(event["kept_tokens"] / call["prompt_tokens"])
                     now["read"] += int(call["prompt_tokens"] - event["kept_tokens"])
+                    self._turned(call["session"], replica, self.kept[second][-1])
             else:
                 self.failed[who, replica] = name
                 self.late[crowd // STREAMS] += name == "TIMEOUT"
@@ -137,8 +146,40 @@
             elif name == "Log" and action["text"].startswith("eject replica "):
                 self.ejections[self.failed.get((who, int(action["text"].split()[2])), "?")] += 1
 
+    def _turned(self, session: int, replica: int, kept: float) -> None:
+        before = self.turns.get(session, replica)
+        same_zone = self.zones.get(before) == self.zones.get(replica)
+        where = "the same" if before == replica else "in its zone" if same_zone else "in another zone"
+        self.moved[where if session in self.turns else "the first turn"].append(kept)
+        if session:
+            self.turns[session] = replica
+
+
+def follow(folder: Path, txn: str) -> Iterator[str]:
+    """A request's path: what each router was told and did, its client's other tries included."""
+    told = {path.stem: list(rows(path)) for path in folder.glob("*.log")}
+    named = {(name, row[2]): row[3] for name, lines in told.items() for row in lines if row[0] == "query"}
+    asked = {(name, row[2]["id"]): row[2] for name, lines in told.items() for row in lines if row[0] == "Request"}
+    wanted = [asked[key] for key, its in named.items() if its == txn and key in asked]
+    prompts = {(one["session"], one["prompt_tokens"]) for one in wanted if one["session"]}
+    ours = {key for key, its in named.items() if its == txn}
+    ours |= {key for key, one in asked.items() if (one["session"], one["prompt_tokens"]) in prompts}
+    found = []
+    for name, lines in told.items():
+        for row in lines:
+            event = row[2] if len(row) > 2 else None
+            about = event if row[0] == "query" else event.get("request", event.get("id", event.get("tag"))) if (
+                isinstance(event, dict)) else None  # fmt: skip
+            if (name, about) in ours:
+                found.append((row[1], name, named.get((name, about), "?"), row))
+    found.sort(key=lambda one: one[:2])
+    for at, name, its, row in found:
+        yield f"{(at - found[0][0]) / 1e6:9.6f} {name} {its} {row[0]} {json.dumps(row[2:])}"
+
 
 def measure(given: argparse.Namespace) -> dict[str, Any]:
+    if given.follow:
+        return {"path": list(follow(given.folder, given.follow))}
     events = [(row[1], who, row) for who, path in enumerate(given.folder.glob("*.log")) for row in rows(path)]
     events.sort(key=lambda one: one[0])
     if not events:
@@ -163,6 +204,7 @@
     asked = sum(now["asked"] for now in fleet.seconds.values())
     return {
         "table": table, "by streams out": crowds,
+        "turns": {where: [len(kept), round(mean(kept), 2)] for where, kept in sorted(fleet.moved.items())},
         "connects to one server in a second, at most": max(fleet.connects.values(), default=0),
         "calls to discovery": sum(now["call"] for now in fleet.seconds.values()),
         "wait for a list, median and longest": [round(part(fleet.waits, 0.5), 3), round(part(fleet.waits, 1), 3)],
@@ -173,6 +215,9 @@
 
 
 def show(found: dict[str, Any]) -> None:
+    if "path" in found:
+        print(*(found["path"] or ["no router has a line of it"]), sep="\n")
+        return
     for name, table in (("a second", found.pop("table")), ("by streams out", found.pop("by streams out"))):
         lines = table if isinstance(table, list) else [{"streams": key} | row for key, row in table.items()]
         print(name)
@@ -200,6 +245,7 @@
 
 def options(parser: argparse.ArgumentParser) -> None:
     parser.add_argument("folder", type=Path)
+    parser.add_argument("--follow", metavar="TXN", help="one request's path, by its id, in place of the counts")
 
 
 if __name__ == "__main__":
--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -391,6 +391,8 @@
             return True
         if self._crowded(replica, call):
             return True  # nowhere is there room: one more would make all that run there late
+        if call.attempts and predicted > left:
+            return True  # sent again for nothing, over a connection that costs the replica a handshake
         if not replica.waiting and (replica.fitted < 0 or self.now - replica.fitted > self.shortest):
             return False  # a scout goes all the same, so that a wrong prediction can't refuse for good
         return predicted > REFUSE_MARGIN * left
@@ -557,21 +559,21 @@
             patience = timeout - other
             if settings.second_copies:
                 patience = min(max(HEDGE_TIMES * predicted, left / 4), patience)
-            # Else giving up wastes what was done, and in a crowd the next try waits as long: it is left until
-            # another just fits.
+            # Else giving up wastes what was done: it is left until another just fits.
             if patience > 1.2 * predicted and len(call.attempts) < settings.max_attempts:
                 if settings.second_copies and settings.may_cancel:
                     call.hedge_at = now + int(patience)
                     self.actions.append(Send(request.id, replica.id, timeout))
                     self.actions.append(SetTimer(int(patience), request.id))
                     return
-                timeout = int(patience)
-                # A hang is left while another still fits before the aim, and not only before the deadline.
-                before_aim = int(call.aim_at - now - other)
-                # Without samples, or with many late, it may well be that all take so long.
-                known = self.learned and self.timeouts < PATIENCE_TIMEOUTS
-                if known and before_aim > PATIENCE_TIMES * predicted:
-                    timeout = min(timeout, before_aim)
+                # With many late, all may well take so long: what was read for it is lost with the attempt, and the
+                # next one has it to read again, where others wait as well.
+                if self.timeouts < PATIENCE_TIMEOUTS:
+                    timeout = int(patience)
+                    # A hang is left while another still fits before the aim, and not only before the deadline.
+                    before_aim = int(call.aim_at - now - other)
+                    if self.learned and before_aim > PATIENCE_TIMES * predicted:
+                        timeout = min(timeout, before_aim)
         self.actions.append(Send(request.id, replica.id, timeout))
 
     def _on_timer(self, timer: Timer) -> None:
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -246,6 +246,8 @@
         query.taken = self.latest = self.clock()
         if query.txn:
             self.open_ids.add(query.txn)
+        if self.trace is not None:
+            self.trace.query(handle, query.txn)
         if self.hurried:
             self._answer(handle, partial(_refuse, 0))
             return handle
--- a/pearstall/net/trace.py
+++ b/pearstall/net/trace.py
@@ -45,6 +45,10 @@
         done = [[type(action).__name__, action] for action in actions]
         self.add([type(event).__name__, self._now(), event, done])
 
+    def query(self, handle: int, txn: str) -> None:
+        """Which request of a client the Router's is: the client's own retry has another id, and the same session."""
+        self.add(["query", self._now(), handle, txn])
+
     def link(self, what: str, replica: int) -> None:
         self.add(["link", self._now(), what, replica])
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import itertools
+import json
+from pathlib import Path
 from typing import Any
 
 import pytest
 
+from benchmarks.fleet import follow
 from pearstall.choice import Router, _Call
-from pearstall.interface import ListKind, ReplicaList, Request, Result, SetTimer, Subscribe, Timer
+from pearstall.interface import ListKind, ReplicaList, Request, Result, Send, SetTimer, Subscribe, Timer
 from tests.support import AIM, MS, START, Gateway, S, entry, of, refused, settings
 
 GATEWAYS = 40
@@ -219,7 +222,8 @@
 def in_zones(gateways: int, zone: int, count: int = 40) -> Gateway:
     """A gateway of one of five zones, as it has just started; before it is a fleet spread over all of them."""
     hosts = [entry(100 + n, zone=n % 5) for n in range(count)]
-    return Gateway(settings(gateways=gateways, zones=5, zone=zone, cross_zone_price=0.015), hosts, seed=zone + 1)
+    made = settings({"late_worth": 0.5}, gateways=gateways, zones=5, zone=zone, cross_zone_price=0.015)
+    return Gateway(made, hosts, seed=zone + 1)
 
 
 def test_a_beginning_has_few_homes_in_all_zones_together() -> None:
@@ -267,3 +271,45 @@
     few.router.out = 24
     few.request()
     assert few.router.crowding < 0.1 * AIM
+
+
+def test_a_requests_path_is_found_over_all_routers_and_its_clients_tries(tmp_path: Path) -> None:
+    """By its own id at one router, and by session and prompt at the next, where its client asked again."""
+    asked = {"class_index": 0, "deadline": 9, "session": 77, "prefix": 0, "prefix_tokens": 0.0, "tenant": 0}
+    first = {"id": 5, "prompt_tokens": 900.0} | asked
+    other = {"id": 6, "prompt_tokens": 100.0} | asked
+    logs = {
+        "n0": [["query", 10, 5, "aa"], ["Request", 11, first, [["Refuse", {"request": 5, "retry_after": 0}]]],
+               ["query", 12, 6, "bb"], ["Request", 13, other, []], ["cpu", 14, 0.1]],
+        "n1": [["query", 20, 8, "cc"], ["Request", 21, first | {"id": 8}, []],
+               ["Outcome", 30, {"request": 8, "attempt": 0, "replica": 3, "result": 1}, []]],
+    }  # fmt: skip
+    for name, lines in logs.items():
+        text = "".join(f"trace {json.dumps(line)}\n" for line in lines)
+        (tmp_path / f"{name}.log").write_text(text + 'trace ["Request", 99, {"id"')
+    path = [line.split()[1:4] for line in follow(tmp_path, "aa")]
+    assert path == [["n0", "aa", "query"], ["n0", "aa", "Request"], ["n1", "cc", "query"], ["n1", "cc", "Request"],
+                    ["n1", "cc", "Outcome"]]  # fmt: skip
+    assert not list(follow(tmp_path, "dd"))
+
+
+def test_nothing_is_sent_again_without_the_time_for_a_first_token() -> None:
+    """A scout went wherever nothing had been learned, which in a large fleet is nearly everywhere: 185 executions a
+    second with a microsecond left, each over a new connection."""
+    gateway = in_zones(200, 0)
+    id, actions = gateway.request(deadline=gateway.now + 1_400 * MS, prompt_tokens=2000.0)
+    (send,) = of(Send, actions)
+    gateway.now += 1_390 * MS
+    assert refused(gateway.outcome(id, Result.TIMEOUT, took=1_390 * MS))
+    assert send.timeout <= 1_390 * MS and len(gateway.attempts[id]) == 1
+
+
+def test_where_many_time_out_an_attempt_is_left_until_its_time() -> None:
+    """What was read for it would be lost, and the next one has it to read again where others wait as well."""
+    waits = []
+    for share in (0.0, 0.4):
+        gateway = in_zones(200, 0)
+        gateway.router.timeouts = share
+        _, actions = gateway.request(deadline=gateway.now + 3 * S, prompt_tokens=2000.0)
+        waits += [send.timeout for send in of(Send, actions)]
+    assert waits[0] < 2_700 * MS and waits[1] >= 2_900 * MS
