--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -75,7 +75,7 @@
 HOME_LEAST = 2  # and so many at least
 HOME_MOST = 32  # and so many at most are asked for a session's home
 HOME_USUAL = 4.0  # homes of a prefix while little is known of its share
-HOME_PRIOR = 100.0  # and for how many requests that stands
+HOME_PRIOR = 40.0  # and for how many requests that stands
 HOME_FADE = 0.95  # what an interval leaves of the requests counted for a prefix
 DECODE_TOKENS = 1000.0  # the work of an answer, as prompt tokens to read
 
