--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -75,7 +75,8 @@
 HOME_LEAST = 2  # and so many at least
 HOME_MOST = 32  # and so many at most are asked for a session's home
 HOME_USUAL = 4.0  # homes of a prefix while little is known of its share
-HOME_PRIOR = 40.0  # and for how many requests that stands
+HOME_PRIOR = 100.0  # and for how many requests that stands
+HOME_PRIOR_ALL = 8000.0  # or for so many of all gateways together: one of hundreds sees few
 HOME_FADE = 0.95  # what an interval leaves of the requests counted for a prefix
 DECODE_TOKENS = 1000.0  # the work of an answer, as prompt tokens to read
 
@@ -776,9 +777,10 @@
         if request.prefix:
             call.homes_from = bisect_left(ring, _mix(request.prefix), key=_mark)
             # Few requests tell little of a share, and gateways that differ in it differ in a session's home.
-            spread = HOME_SPREAD * n * self.asked_prefix.get(request.prefix, 0.0) + HOME_PRIOR * HOME_USUAL
+            prior = min(HOME_PRIOR, HOME_PRIOR_ALL / self.settings.gateways)
+            spread = HOME_SPREAD * n * self.asked_prefix.get(request.prefix, 0.0) + prior * HOME_USUAL
             least = HOME_LEAST
-            while least < min(n, spread / (HOME_PRIOR + self.asked_prefixes)):
+            while least < min(n, spread / (prior + self.asked_prefixes)):
                 least *= 2
             call.homes = min(n, least)
         if request.session and n:
