Account for each class's tries by phase, and say why the Router refuses one

Refuse and Fail carry a reason for traces alone (class or deadline, too late, attempts, pace, crowded, again, predicted, retries); benchmarks/fleet.py counts asked, first tokens, refused by reason, failed, gone and never sent by class, before, while and after servers and routers are replaced. The laboratory's classes take a token aim and an aim by prompt, which its worlds did not tell the routers: shedding by pace was never exercised there. No decision changes.

--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -7,6 +7,9 @@
 that hold a watch, calls to discovery. Then first tokens by the streams that their server had out, from all routers
 together, when they were sent; and over the whole run connects to one server, ejections by the failure before them,
 waits for lists, starts, CPU. `turns`: where the turns of sessions went, and how much of their prompts was kept there.
+`by class`: what became of each class's tries, a row for each phase: before anything is replaced, from the first news
+of it (a server that drains, goes or has just started, a router that starts again) to the last, and after it. A try
+ends once: with a first token, refused (and why), failed, or its client gone; `never sent`: no server saw it.
 
 `--follow` prints every line that any router has of one request by its `X-Txn`, and of its client's other tries: they
 ask for the same prompt of the same session under ids of their own.
@@ -49,6 +52,86 @@
     return sorted(values)[min(len(values) - 1, int(share * len(values)))] if values else 0.0
 
 
+PHASES = ("before", "while", "after")
+ENDS = ("asked", "first", "refused", "failed", "gone", "never sent", "TIMEOUT", "RESET", "CONNECT_FAILED", "FULL")
+
+
+def phases(events: list[tuple[int, int, list[Any]]]) -> tuple[int, int]:
+    """When servers and routers began and ended to be replaced: the whole of it lies before, where none were."""
+    begin, names, changes = events[0][0], Counter[int](), []
+    for at, who, row in events:
+        if row[0] == "start":
+            names[who] += 1
+            if names[who] > 1:
+                changes.append(at)
+        elif row[0] == "ReplicaList" and any(
+            state != State.READY or since > begin for _, _, _, state, since in row[3]
+        ):  # fmt: skip
+            changes.append(at)
+    return (min(changes), max(changes)) if changes else (events[-1][0] + 1, events[-1][0] + 1)
+
+
+class Classes:
+    """What became of the tries of each class, by the phase in which they came."""
+
+    def __init__(self, first: int, last: int) -> None:
+        self.first, self.last = first, last
+        self.names: list[str] = []
+        self.counts: dict[tuple[str, int], Counter[str]] = defaultdict(Counter)
+        self.open: dict[tuple[int, int], Counter[str]] = {}
+        self.unsent: set[tuple[int, int]] = set()
+
+    def tell(self, at: int, who: int, row: list[Any]) -> None:
+        kind = row[0]
+        if kind == "start":
+            self.names = row[4] if len(row) > 4 else self.names
+        if kind not in ("Request", "FirstToken", "Outcome", "ClientGone", "Timer", "ReplicaList") or len(row) < 4:
+            return
+        event, actions = row[2], row[3]
+        if kind == "ReplicaList":
+            return
+        about = event.get("request", event.get("id", event.get("tag")))
+        if kind == "Request":
+            phase = PHASES[(at >= self.first) + (at > self.last)]
+            self.open[who, about] = self.counts[phase, event["class_index"]]
+            self.unsent.add((who, about))
+            self._count(who, about, "asked")
+        elif kind == "FirstToken":
+            self._end(who, about, "first")
+        elif kind == "Outcome" and event["result"] not in (Result.OK, Result.CANCELLED):
+            self._count(who, about, Result(event["result"]).name)
+        elif kind == "ClientGone":
+            self._end(who, about, "gone")
+        for name, action in actions:
+            if name == "Send":
+                self.unsent.discard((who, action["request"]))
+            elif name == "Refuse":
+                self._end(who, action["request"], "refused", action.get("why", "") or "?")
+            elif name == "Fail":
+                self._end(who, action["request"], "failed", action.get("why", "") or "?")
+
+    def _count(self, who: int, about: int, *what: str) -> None:
+        if (who, about) in self.open:
+            self.open[who, about].update(what)
+
+    def _end(self, who: int, about: int, what: str, why: str = "") -> None:
+        never = ("never sent",) if (who, about) in self.unsent else ()
+        self._count(who, about, what, *never, *((f"{what}: {why}",) if why else ()))
+        self.open.pop((who, about), None)
+        self.unsent.discard((who, about))
+
+    def table(self) -> list[dict[str, Any]]:
+        whys = sorted({key for one in self.counts.values() for key in one if ": " in key})
+        asked: Counter[str] = Counter()
+        for (phase, _), counts in self.counts.items():
+            asked[phase] += counts["asked"]
+        return [
+            {"phase": phase, "class": self.names[number] if number < len(self.names) else str(number),
+             "share": round(counts["asked"] / asked[phase], 3), **{name: counts[name] for name in (*ENDS, *whys)}}
+            for (phase, number), counts in sorted(self.counts.items(), key=lambda one: PHASES.index(one[0][0]))
+        ]  # fmt: skip
+
+
 class Fleet:
     """What all routers together did, told in the order of time."""
 
@@ -184,9 +267,10 @@
     events.sort(key=lambda one: one[0])
     if not events:
         raise SystemExit(f"{given.folder}: no traces")
-    fleet = Fleet()
+    fleet, classes = Fleet(), Classes(*phases(events))
     for at, who, row in events:
         fleet.tell((at - events[0][0]) // 1_000_000, who, row)
+        classes.tell(at, who, row)
     table = [
         {"s": s} | {name: now[name] for name in COLUMNS} | {
             "p50": round(median(fleet.first[s] or [0]), 2), "p90": round(part(fleet.first[s], 0.9), 2),
@@ -203,7 +287,7 @@
     }  # fmt: skip
     asked = sum(now["asked"] for now in fleet.seconds.values())
     return {
-        "table": table, "by streams out": crowds,
+        "table": table, "by class": classes.table(), "by streams out": crowds,
         "turns": {where: [len(kept), round(mean(kept), 2)] for where, kept in sorted(fleet.moved.items())},
         "connects to one server in a second, at most": max(fleet.connects.values(), default=0),
         "calls to discovery": sum(now["call"] for now in fleet.seconds.values()),
@@ -218,7 +302,8 @@
     if "path" in found:
         print(*(found["path"] or ["no router has a line of it"]), sep="\n")
         return
-    for name, table in (("a second", found.pop("table")), ("by streams out", found.pop("by streams out"))):
+    for name, key in (("a second", "table"), ("by class", "by class"), ("by streams out", "by streams out")):
+        table = found.pop(key)
         lines = table if isinstance(table, list) else [{"streams": key} | row for key, row in table.items()]
         print(name)
         print(" ".join(f"{key:>{max(7, len(key))}}" for key in lines[0]))
--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -346,7 +346,7 @@
             return
         classes = self.settings.classes
         if request.class_index >= len(classes) or request.deadline <= self.now:
-            self.actions.append(Refuse(request.id))
+            self.actions.append(Refuse(request.id, why="class or deadline"))
             return
         klass = classes[request.class_index]
         born = self.now
@@ -375,29 +375,29 @@
         """Sends the next attempt of a call that has none out, holds it, or ends it."""
         left = call.earn_by - self.now
         if left <= 0 or len(call.attempts) >= self.settings.max_attempts or not self._may_resend(call):
-            self._end(call)
+            self._end(call, "too late" if left <= 0 else "attempts")
             return
         call.homes_ring = None  # shares have changed since the last attempt
         replica, predicted = self._choose(call, left)
         if replica is None:
             self._hold(call, left)
-        elif self._hopeless(call, replica, predicted, left) and self._may_refuse(call):
-            self._end(call)
+        elif (why := self._hopeless(call, replica, predicted, left)) and self._may_refuse(call):
+            self._end(call, why)
         else:
             self._send(call, replica, predicted, left)
 
-    def _hopeless(self, call: _Call, replica: _Replica, predicted: float, left: int) -> bool:
-        """Whether the best replica found would answer too late, or tokens come too slowly everywhere: then a
-        refusal costs this request nothing and spares the others."""
+    def _hopeless(self, call: _Call, replica: _Replica, predicted: float, left: int) -> str:
+        """Why the best replica found won't do, or nothing: it would answer too late, or tokens come too slowly
+        everywhere. Then a refusal costs this request nothing and spares the others."""
         if call.klass.token_aim and self._shed(call):
-            return True
+            return "pace"
         if self._crowded(replica, call):
-            return True  # nowhere is there room: one more would make all that run there late
+            return "crowded"  # nowhere is there room: one more would make all that run there late
         if call.attempts and predicted > left:
-            return True  # sent again for nothing, over a connection that costs the replica a handshake
+            return "again"  # sent again for nothing, over a connection that costs the replica a handshake
         if not replica.waiting and (replica.fitted < 0 or self.now - replica.fitted > self.shortest):
-            return False  # a scout goes all the same, so that a wrong prediction can't refuse for good
-        return predicted > REFUSE_MARGIN * left
+            return ""  # a scout goes all the same, so that a wrong prediction can't refuse for good
+        return "predicted" if predicted > REFUSE_MARGIN * left else ""
 
     def _shed(self, call: _Call) -> bool:
         """In proportion, while tokens come slowly everywhere. It needs no sample of the replica picked: in a
@@ -467,13 +467,13 @@
         step = max(2 * self.settings.tick, self.shortest // 10)
         self.actions.append(SetTimer(max(1, min(step, left)), call.request.id))
 
-    def _end(self, call: _Call) -> None:
+    def _end(self, call: _Call, why: str) -> None:
         """The final answer where none was served."""
         refuse = self._may_refuse(call)
         self.held.pop(call.request.id, None)
         self._cancel_out(call)
         id = call.request.id
-        self.actions.append(Refuse(id, self.settings.max_retry_after) if refuse else Fail(id))
+        self.actions.append(Refuse(id, self.settings.max_retry_after, why) if refuse else Fail(id, why))
         self._turned_away(call)
         self._answered(call)
 
@@ -663,7 +663,7 @@
             call.streaming = False
             if event.result == Result.TIMEOUT:
                 if self.retries < 1.0:
-                    self._end(call)
+                    self._end(call, "retries")
                     return
                 self.retries -= 1.0
             self._place(call)
--- a/pearstall/interface.py
+++ b/pearstall/interface.py
@@ -11,7 +11,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
-from dataclasses import MISSING, dataclass, fields
+from dataclasses import MISSING, dataclass, field, fields
 from enum import IntEnum
 from typing import Any
 
@@ -121,13 +121,13 @@
     if not isinstance(raw, Mapping):
         raise ValueError(f"{path.rstrip('.')}: a mapping is wanted")
     values: dict[str, Any] = {}
-    for field in fields(kind):
-        key = field.name
+    for wanted in fields(kind):
+        key = wanted.name
         if key == "classes":
             continue
         if key in raw:
-            values[key] = _value(path + key, key, str(field.type), raw[key])
-        elif field.default is MISSING:
+            values[key] = _value(path + key, key, str(wanted.type), raw[key])
+        elif wanted.default is MISSING:
             raise ValueError(f"{path}{key}: missing")
     return values
 
@@ -273,6 +273,7 @@
 
     request: int
     retry_after: int = 0
+    why: str = field(default="", compare=False)  # for traces alone
 
 
 @dataclass(slots=True)
@@ -280,6 +281,7 @@
     """Final: nothing is promised."""
 
     request: int
+    why: str = field(default="", compare=False)
 
 
 @dataclass(slots=True)
--- a/pearstall/lab/scenarios.py
+++ b/pearstall/lab/scenarios.py
@@ -67,6 +67,7 @@
             "aim": duration(0.01, 600), "give-up": duration(0.01, 600), "late-share": number(0, 1),
             "value": number(0, 1e6), "share": number(0, 1e6), "prompt": whole(1), "shared": whole(0),
             "wanted": whole(1), "turns": number(0, 1000), "think": duration(0.01, 3600),
+            "token-aim": duration(0, 10), "aim-per-k": duration(0, 600),
         },
         many=True,
     ),
@@ -90,7 +91,7 @@
     **CHANGES,
     "variant": Shape(args=(text,), children=CHANGES, many=True),
 }  # fmt: skip
-SETTABLE = ("tick", "maxAttempts", "maxRetryAfter", "mustAskIn")
+SETTABLE = ("tick", "maxAttempts", "maxRetryAfter", "mustAskIn", "groupSize")
 
 
 class Variant(msgspec.Struct):
--- a/pearstall/lab/world.py
+++ b/pearstall/lab/world.py
@@ -54,6 +54,8 @@
     wanted: int = 100
     turns: float = 3.0  # of a session, on average
     think: float = 4.0
+    token_aim: float = 0.0  # an answer is worth all up to this gap between tokens, late up to twice that; 0: any
+    aim_per_k: float = 0.0  # added to the aim for every 1,000 prompt tokens
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -425,7 +427,10 @@
         if last.kind == "served":
             wait = last.first - ask.at
             result.first.setdefault(klass.name, []).append(wait)
-            part = 1.0 if wait <= klass.aim else klass.late_share if wait <= klass.give_up else 0.0
+            aim = klass.aim + klass.aim_per_k * ask.prompt / 1000
+            pace = (last.last - last.first) / max(1, last.tokens - 1) / klass.token_aim if klass.token_aim else 0.0
+            late = klass.late_share if wait <= klass.give_up and pace <= 2 else 0.0
+            part = 1.0 if wait <= aim and pace <= 1 else late
         self._add("worth", part * klass.value, ask.at)
         self.worths[klass.name].append(part)
         self.tenants[f"t{ask.tenant}"].append(part)
@@ -742,6 +747,8 @@
         "lanes": lanes,
         "accounts": [{"name": f"t{n}", "share": 1 / scenario.tenants} for n in range(scenario.tenants)],
         "dcs": world.zone_names, "models": ["m1"], "tick": 4000, "membershipMode": "subscribe",
+        "familyInfo": {"tokenAim": [int(klass.token_aim * 1e6) for klass in scenario.classes],
+                       "aimUsPer1000PromptTokens": [int(klass.aim_per_k * 1e6) for klass in scenario.classes]},
         "limits": {"maxAttempts": 3, "mayCancel": True, "retryAfter": True, "maxRetryAfter": 2_000_000,
                    "connIdle": 30_000_000, "connectTimeout": 250_000},
         "obligations": {"mustAskIn": 1_000_000, "cold": int(engine.cold_time * 1e6), "coldShare": engine.cold_share,
--- a/pearstall/models/mutants.py
+++ b/pearstall/models/mutants.py
@@ -151,7 +151,7 @@
     Mutant(
         "given up, and nothing said",
         R + "_end",
-        "self.actions.append(Refuse(id, self.settings.max_retry_after) if refuse else Fail(id))",
+        "self.actions.append(Refuse(id, self.settings.max_retry_after, why) if refuse else Fail(id, why))",
         "pass",
         "attempt",
         "one",
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -140,7 +140,8 @@
     def traced(self) -> None:
         from pearstall.net.trace import Trace
 
-        self.core.trace = Trace(self.deadlines, self.config.name, self.around.now)
+        classes = [lane.name for lane in self.config.names.lanes]
+        self.core.trace = Trace(self.deadlines, self.config.name, self.around.now, classes)
 
     async def start(self) -> None:
         self.group.told = self._listed
--- a/pearstall/net/trace.py
+++ b/pearstall/net/trace.py
@@ -22,13 +22,13 @@
 class Trace:
     """`time` in a line is Unix time in microseconds, so that the traces of many routers can be laid together."""
 
-    def __init__(self, deadlines: Deadlines, name: str, now: Callable[[], float]) -> None:
+    def __init__(self, deadlines: Deadlines, name: str, now: Callable[[], float], classes: list[str]) -> None:
         self.deadlines = deadlines
         self.offset = int((now() - deadlines.clock.time()) * 1e6)
         self.lines: list[bytes] = []
         self.size = 0
         self.encode = msgspec.json.Encoder().encode
-        self.add(["start", self._now(), name, time.process_time()])
+        self.add(["start", self._now(), name, time.process_time(), classes])
         deadlines.after(HELD, self._due)
 
     def _now(self) -> int:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from benchmarks.fleet import follow
+from benchmarks.fleet import Classes, follow, phases
 from pearstall.choice import Router, _Call
 from pearstall.interface import ListKind, ReplicaList, Request, Result, Send, SetTimer, Subscribe, Timer
 from tests.support import AIM, MS, START, Gateway, S, entry, of, refused, settings
@@ -293,6 +293,33 @@
     assert not list(follow(tmp_path, "dd"))
 
 
+def test_each_classes_tries_are_accounted_for_by_phase() -> None:
+    """A mean over classes hides one that gets nothing, and a mean over the day hides when."""
+    ready = [7, 0, 0, 1, 0]
+    rows = [
+        (0, 0, ["start", 0, "n0", 0.1, ["agent", "chat"]]),
+        (1, 0, ["ReplicaList", 1, 1, [ready]]),
+        (2, 0, ["Request", 2, {"id": 1, "class_index": 0}, [["Send", {"request": 1, "replica": 7}]]]),
+        (3, 0, ["FirstToken", 3, {"request": 1, "attempt": 0}, []]),
+        (10, 0, ["ReplicaList", 10, 0, [[8, 0, 0, 1, 9]]]),
+        (11, 0, ["Request", 11, {"id": 2, "class_index": 1}, [["Refuse", {"request": 2, "why": "pace"}]]]),
+        (12, 0, ["Request", 12, {"id": 3, "class_index": 1}, [["Send", {"request": 3, "replica": 8}]]]),
+        (13, 0, ["Outcome", 13, {"request": 3, "attempt": 0, "result": 3},
+                 [["Refuse", {"request": 3, "why": "again"}]]]),
+        (20, 0, ["start", 20, "n0", 0.1, ["agent", "chat"]]),
+        (30, 0, ["Request", 30, {"id": 1, "class_index": 1}, []]),
+        (31, 0, ["ClientGone", 31, {"request": 1}, []]),
+    ]  # fmt: skip
+    classes = Classes(*phases(rows))
+    for row in rows:
+        classes.tell(*row)
+    before, during, after = classes.table()
+    assert (before["phase"], before["class"], before["first"], before["share"]) == ("before", "agent", 1, 1.0)
+    assert (during["class"], during["asked"], during["refused"], during["never sent"]) == ("chat", 2, 2, 1)
+    assert during["TIMEOUT"] == during["refused: pace"] == during["refused: again"] == 1
+    assert (after["phase"], after["gone"], after["never sent"]) == ("after", 1, 1)
+
+
 def test_nothing_is_sent_again_without_the_time_for_a_first_token() -> None:
     """A scout went wherever nothing had been learned, which in a large fleet is nearly everywhere: 1,769 of some
     4,370 time-outs in 15 s had taken under 0.1 s."""
