Refuse at the end only what may be asked again, and copy no attempt too many

At a restart the core refused whatever waited for a first event, also what may have run of a class that must not run twice: a refusal says that to ask again does no harm. Now the Router is asked, and the rest is failed. Both tests fail without their lines. Links to servers that are gone also left an empty list for each address behind; it is dropped with the last link.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -514,6 +514,11 @@
             return False
         return self.now < first.sent + call.klass.window
 
+    def may_refuse(self, id: int) -> bool:
+        """Whether a refusal would be true of a request: that to ask again does no harm."""
+        call = self.calls.get(id)
+        return call is None or self._may_refuse(call)
+
     def _may_refuse(self, call: _Call) -> bool:
         klass = call.klass
         if klass.effect == Effect.PURE or (klass.effect == Effect.TOKEN and klass.scope == Scope.ALL):
@@ -595,7 +600,9 @@
     def _hedge(self, call: _Call) -> None:
         """A second copy, while it can still pay: the first may hang, or wait behind something heavy."""
         left = call.earn_by - self.now
-        if call.out != 1 or self.hedges < 1 or not self._may_resend(call):
+        if call.out != 1 or len(call.attempts) >= self.settings.max_attempts:
+            return
+        if self.hedges < 1 or not self._may_resend(call):
             return
         replica, predicted = self._choose(call, left)
         if replica is None or predicted > left or replica is call.attempts[-1].replica:
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -410,8 +410,10 @@
             if query.passed:
                 self.counters.moved += 1
                 self._answer(query.handle, lambda answer: answer.cut())
-            else:
+            elif self.router.may_refuse(query.handle):
                 self._answer(query.handle, partial(_refuse, 0))
+            else:  # it may have run: to ask again is not harmless
+                self._answer(query.handle, lambda answer: answer.fail(False))
             self.tell(ClientGone(query.handle))
 
     def ended(self, execution: Execution, end: End) -> None:
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -342,6 +342,8 @@
         waiting = self.idle.get(link.address)
         if waiting and link in waiting:
             waiting.remove(link)
+        if waiting is not None and not waiting:
+            del self.idle[link.address]  # servers come and go: what is kept of them goes as well
 
     def close(self) -> None:
         for link in self.links:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -68,11 +68,11 @@
 class Scene:
     """A core between a client and servers that only keep books."""
 
-    def __init__(self) -> None:
+    def __init__(self, **klass: Any) -> None:
         self.clock, self.counters = Clock(), Counters()
         self.said: list[str] = []
         self.out: list[Execution] = []
-        rules = settings(late_worth=0.5, max_attempts=3)
+        rules = settings({"late_worth": 0.5, **klass}, max_attempts=3)
         self.core = Core(rules, 7, Deadlines(self.clock), self.counters, self)
         self.core.start()
         replicas = [Replica(id, 0, 0, State.READY) for id in (1, 2, 3)]
@@ -190,6 +190,15 @@
     assert scene.said[-1] == "refuse" and len(scene.out) == 3
 
 
+def test_before_the_end_only_what_may_be_asked_again_is_refused() -> None:
+    """A refusal says that to ask again does no harm: not of what may have run and must not run twice."""
+    for effect, said in (("pure", "refuse"), ("side_effect", "fail")):
+        scene = Scene(effect=effect)
+        scene.ask()
+        scene.core.hurry(False, scene.clock.time())
+        assert said in scene.said and len(scene.said) == 3
+
+
 def test_what_was_kept_back_may_be_sent_again_and_is_answered_in_time() -> None:
     scene = Scene()
     scene.ask()
--- a/tests/test_troubles.py
+++ b/tests/test_troubles.py
@@ -384,6 +384,18 @@
     return shed
 
 
+def test_a_second_copy_is_no_attempt_too_many() -> None:
+    """The timer of the first attempt's copy may come when a retry after its error has used up the attempts."""
+    made = settings({"give_up": 5 * S}, max_attempts=2, second_copies=True)
+    gateway = Gateway(made, 4)
+    id, _ = gateway.request()
+    gateway.now += MS
+    gateway.outcome(id, Result.ERROR, took=MS)
+    assert len(gateway.attempts[id]) == 2
+    gateway.wait(4 * S)
+    assert len(gateway.attempts[id]) == 2
+
+
 def test_under_stress_a_flood_is_cut_and_the_others_keep_their_share() -> None:
     shed = flood([0.5, 0.5], 115 * MS)
     assert shed[1] > 60 and shed[0] / 40 < 0.8 * shed[1] / 360
