Ask discovery before its news counts as told, at any number of routers

Looked for what breaks between 200 and 1,024 routers and servers. The first call to discovery is spread by 0.05 s a router: the last of 200 asks after 9.6 s, of 230 after 11.1 s, of 1,024 after 51 s, where drains count as told once a router has not asked for mustAskIn, 10 s. It is now at most 0.9 of that.

A class with an aim of 0 made a router refuse to start, and one with a tiny aim shortened what is remembered for all classes to next to nothing (refused connects, fits): the shortest aim counts as a twentieth of the longest at least.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -123,6 +123,7 @@
 ASK_LEAST = 1 / 16  # and this at least
 ASK_SPREAD = 0.05  # seconds a gateway beyond so few, over which first calls are spread: a list is held
 ASK_TOGETHER = 8
+ASK_BY = 0.9  # and at most over this part of must_ask_in
 SUBSCRIBE_TAG = 1 << 60  # timer tags below this are request ids
 
 
@@ -255,7 +256,8 @@
         self.ejected = 0
         self.next_return = 1 << 62
         longest = max(klass.aim for klass in settings.classes)
-        self.shortest = min(klass.aim for klass in settings.classes)
+        # One class that wants its answers at once must not make what is remembered for all forgotten at once.
+        self.shortest = max(min(klass.aim for klass in settings.classes), longest // 20, 1)
         self.interval = int(INTERVAL_AIMS * longest)
         self.base_ejection_time = int(BASE_EJECTION_AIMS * longest)
         self.max_ejection_time = MAX_EJECTION_TIMES * self.base_ejection_time
@@ -317,7 +319,9 @@
         self.next_sweep = now + self.interval
         if self.settings.subscribe:
             # Many gateways begin as one. Where a list is held, the first news of it may wait a moment.
-            spread = int(ASK_SPREAD * 1e6 * (self.settings.gateways - ASK_TOGETHER))
+            # Past must_ask_in what the list would tell counts as told, heard or not.
+            spread = ASK_SPREAD * 1e6 * (self.settings.gateways - ASK_TOGETHER)
+            spread = int(min(spread, ASK_BY * self.settings.must_ask_in))
             if spread > 0:
                 delay = 1 + int(self.random() * spread)
                 self.ask_at = now + delay
--- a/pearstall/interface.py
+++ b/pearstall/interface.py
@@ -113,7 +113,7 @@
         return settings
 
 
-AT_LEAST_ONE = {"aim", "give_up", "zones", "gateways", "tick", "max_attempts", "must_ask_in"}
+AT_LEAST_ONE = {"give_up", "zones", "gateways", "tick", "max_attempts", "must_ask_in"}
 ABOVE_NOUGHT = {"cold_share", "tip_multiple"}
 
 
@@ -148,6 +148,8 @@
             raise ValueError(f"{path}: one of {', '.join(names)} is wanted, not {value!r}")
         return names[value]
     low = 1 if key in AT_LEAST_ONE else 0
+    if key == "aim" and value == 0 and not isinstance(value, bool):
+        value = 1  # what is wanted at once
     number = _number(path, value, low)
     if key in ABOVE_NOUGHT and number <= 0:
         raise ValueError(f"{path}: above 0 is wanted, not {value!r}")
