Shut no class out: one pace for all, cold budgets in requests, homes agreed, streams bounded

After the roll 1,952 of 3,716 tries of chat, the class with the tighter aims, are refused for pace, 1,048 of 5,127 of the other. From 13 s to 20 s 46 old servers get 2,613 executions, 43 new ones 248. 283 executions a second go on to serve 100. Of later turns with a beginning 413 of 3,166 go back to their server.

--- a/pearstall/adapter.py
+++ b/pearstall/adapter.py
@@ -176,7 +176,7 @@
                 CALL.unpack_from(body, at)
             )
             hint = hint if bits & 1 else 0
-            return Request(id, klass, deadline, prompt, session, prefix, shared, tenant, hint)
+            return Request(id, klass, deadline, prompt, session, prefix, shared, tenant, hint, bits & 2 != 0)
         if code == 10:
             return Timer(ONE_ID.unpack_from(body, at)[2])
         if code == 6:
--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -75,8 +75,8 @@
 HOME_LEAST = 2  # and so many at least
 HOME_MOST = 32  # of which so many are asked for a session's home, others for each session
 HOME_USUAL = 4.0  # homes of a prefix while little is known of its share
+HOME_PART = 1 / 8  # or this part of all replicas, where that is more: gateways that just started must agree
 HOME_PRIOR = 100.0  # and for how many requests that stands
-HOME_PRIOR_ALL = 8000.0  # or for so many of all gateways together: one of hundreds sees few
 HOME_FADE = 0.95  # what an interval leaves of the requests counted for a prefix
 DECODE_TOKENS = 1000.0  # the work of an answer, as prompt tokens to read
 
@@ -89,6 +89,7 @@
 QUICK_READING = 3.0  # a first token counts while what it reads takes so many median intercepts at most
 QUICK_GAP = 4.0  # where samples are rare, one moves the median so many times as far at most
 QUICK_MOST = 8.0  # and how high it goes, in the longest token aims; more than enough to shed all
+LET_IN = 2.0  # intervals after which a class of which nothing was sent on has one request let in
 SHED_MOST = 0.9  # some always go, or nothing would tell that it got better
 OVER_SHARE = 1.5  # a tenant floods from this many times its share of recent requests on
 STANDING = 1.6  # how far worth for work moves the share shed, either way
@@ -100,9 +101,9 @@
 HEDGE_SHARE = 0.03  # second copies, as a share of requests
 HEDGE_BURST = 4.0
 WORK_FADE = 0.97  # what an interval leaves of the most work a replica was seen to bear
-QUOTA_WORK = 2000.0  # the work of a request that finds what is kept: what tenants are due is what replicas can do
 LIKELY = 0.75  # the least part of its capacity, to this power, is what a cold replica likely has
 COLD_LOOKS = 64  # cold replicas that a pick asks for their budget at most
+ANEW = 0.5  # a prompt of which more than this part is to be read where it would go, is read at a cold replica as well
 COLD_SAFETY = 0.8  # part of a cold replica's budget that the gateways together may use
 ROOM_START = 40.0  # streams at a warm replica, of all gateways together, before anything is known
 ROOM_LATE = 0.87  # what a late first token leaves of the room, and what a good one near it makes of it
@@ -131,10 +132,13 @@
     """One send; `replica` stays valid after the list forgot it."""
 
     __slots__ = ("replica", "number", "sent", "zone", "cell", "predicted", "load", "streams", "unread",
-                 "age", "result", "waiting", "unreached")  # fmt: skip
+                 "age", "result", "waiting", "unreached", "likely")  # fmt: skip
 
-    def __init__(self, replica: _Replica, number: int, sent: int, predicted: float, unread: float) -> None:
+    def __init__(
+        self, replica: _Replica, number: int, sent: int, predicted: float, unread: float, likely: float
+    ) -> None:
         self.replica = replica
+        self.likely = likely  # the part of its capacity that the replica likely had
         self.number = number
         self.sent = sent
         self.zone = replica.zone
@@ -284,6 +288,8 @@
         token_aims = [klass.token_aim for klass in settings.classes if klass.token_aim] or [1.0]
         self.quick = min(token_aims)
         self.quick_at = 0
+        self.token_aim = 0.0  # of the usual request here; 0: none of them has one
+        self.sent_at = [0] * len(settings.classes)  # when a request of the class was sent on last
         self.quick_most = QUICK_MOST * max(token_aims)  # a burst must not keep load shed long after it
         self.mean_density = 0.0  # mean worth for that time, over what was asked
         self.turned_away: dict[tuple[int, float], int] = {}  # session and prompt: when it came first
@@ -291,12 +297,12 @@
         self.holders: dict[int, list[int]] = {}  # session or ~prefix: ids of replicas believed to hold it
         self.asked_prefix: dict[int, float] = {}  # recent requests of each prefix here
         self.asked_prefixes = 0.0  # and their sum
-        self.home_prior = min(HOME_PRIOR, HOME_PRIOR_ALL / settings.gateways)
         self.ring: list[_Replica] = []  # ready, of all zones, in an order by hash; a new one at each change
         self.session_kept = 0.5  # share of a prompt found kept at its session's home
         self.home_kept = 0.5  # share of a prefix found kept at its homes, where others must have brought it
         self.work_sent = 0.0  # since the last sweep
         self.work_rate = 0.0  # of this gateway, a second and warm replica
+        self.usual_work = 0.0  # of a request here; 0: none yet
         self.work_borne = 0.0  # the most of it, of late
         self.cold: list[_Replica] = []  # ready and started not long ago
         self.subscribed = False
@@ -364,6 +370,10 @@
             density = klass.worth / held
             self.mean_density += 0.05 * (density - self.mean_density) if self.mean_density else density
         call = _Call(request, klass, born)
+        work = request.prompt_tokens + DECODE_TOKENS
+        self.usual_work += 0.02 * (work - self.usual_work) if self.usual_work else work
+        if klass.token_aim:
+            self.token_aim += 0.05 * (klass.token_aim - self.token_aim) if self.token_aim else klass.token_aim
         if request.tenant < len(self.asked_share):
             self.asked_share = [0.98 * share for share in self.asked_share]
             self.asked_share[request.tenant] += 0.02
@@ -390,23 +400,37 @@
         else:
             self._send(call, replica, predicted, left)
 
+    def _due(self, call: _Call) -> bool:
+        """Nothing of its class was sent on for long: whatever was learned against it, one goes. Else that would never
+        be put right, as what a class meets shows in its own answers only."""
+        return not call.attempts and self.now - self.sent_at[call.request.class_index] > LET_IN * self.interval
+
     def _hopeless(self, call: _Call, replica: _Replica, predicted: float, left: int) -> str:
         """Why the best replica found won't do, or nothing: it would answer too late, or tokens come too slowly
         everywhere. Then a refusal costs this request nothing and spares the others."""
-        if call.klass.token_aim and self._shed(call):
+        if self._due(call):
+            return ""
+        if self._shed(call):
             return "pace"
-        if self._crowded(replica, call):
+        # Every replica is home to some: what is out to all of them together stays bounded as well, or a jam of
+        # hundreds of gateways never ends. Sent elsewhere it would have to be read anew, and there is no room either.
+        full = self.crowded and self.out >= max(1.0, ROOM_HOME * self.room * self._capacity_now())
+        if full or self._crowded(replica, call):
             return "crowded"  # nowhere is there room: one more would make all that run there late
         if call.attempts and predicted > left:
             return "again"  # sent again for nothing, over a connection that costs the replica a handshake
+        if left < self.quick:
+            return "too late"  # nor does any replica begin so soon: of 403 sent so late 13 got a first token
         if not replica.waiting and (replica.fitted < 0 or self.now - replica.fitted > self.shortest):
             return ""  # a scout goes all the same, so that a wrong prediction can't refuse for good
         return "predicted" if predicted > REFUSE_MARGIN * left else ""
 
     def _shed(self, call: _Call) -> bool:
         """In proportion, while tokens come slowly everywhere. It needs no sample of the replica picked: in a
-        large fleet there is hardly ever a recent one, and nothing would be shed."""
-        over = self.quick / (PACE * call.klass.token_aim) - 1
+        large fleet there is hardly ever a recent one, and nothing would be shed. How slowly is the replicas' matter
+        and one for all classes, by the token aim of the usual request: by its own, a class that wants tokens
+        sooner than the others would be refused all but whole while these are let in."""
+        over = self.quick / (PACE * self.token_aim) - 1 if self.token_aim else 0.0
         if over <= 0:
             return False
         if self._beyond_share(call.request.tenant):
@@ -542,7 +566,7 @@
     def _send(self, call: _Call, replica: _Replica, predicted: float, left: int) -> None:
         now, settings, request = self.now, self.settings, call.request
         unread = self._unread(replica, call)
-        attempt = _Attempt(replica, len(call.attempts), now, predicted, unread)
+        attempt = _Attempt(replica, len(call.attempts), now, predicted, unread, self._likely(replica))
         if request.prefix:
             entry = replica.kept.get(~request.prefix)
             if entry:
@@ -553,10 +577,11 @@
         call.attempts.append(attempt)
         call.out += 1
         self.out += 1
+        self.sent_at[request.class_index] = now
         replica.waiting[attempt] = None
         replica.unread += unread
         replica.streams += 1
-        work = unread + DECODE_TOKENS
+        work = request.prompt_tokens + DECODE_TOKENS
         self.work_sent += work
         if replica.cold_debt >= 0:
             replica.cold_debt += work
@@ -716,14 +741,17 @@
         if self.cold:
             # Those that may be sent something just now are few: by chance alone they'd hardly be met.
             n, found = len(self.cold), 0
+            # What has to be read anew anyway is read where the fleet has room that only its budget bounds: by latency
+            # alone the warm ones get all of it until they jam, and what is cold stays cold.
+            anew = best is None or self._unread(best, call) > ANEW * call.request.prompt_tokens
             start = int(self.random() * n)
             for step in range(min(n, COLD_LOOKS)):
                 one = self.cold[(start + step) % n]
                 young = self.now - one.started < self.settings.cold_time  # the list is as old as the last change
                 if young and one.ejected_until <= self.now and self._open(call, one):
                     weighed = self._weigh(one, call) + self._apart(one)
-                    if weighed < time:
-                        best, time = one, weighed
+                    if weighed < time or (anew and weighed < min(left, call.aim_at - self.now)):
+                        best, time, anew = one, weighed, False
                     found += 1
                     if found == 2:
                         break
@@ -773,6 +801,8 @@
             replica = ring[place % len(ring)]
             if replica is best or replica.ejected_until > self.now or not self._open(call, replica):
                 continue
+            if call.request.repeated and replica.place == call.session_home:
+                continue  # all gateways send a session's tries there: one that answers nobody would have them all
             weighed = self._weigh(replica, call) + self._apart(replica)
             if weighed < time:
                 best, time = replica, weighed
@@ -789,8 +819,9 @@
         if request.prefix:
             call.homes_from = bisect_left(ring, _mix(request.prefix), key=_mark)
             # Few requests tell little of a share, and gateways that differ in it differ in a session's home.
-            prior = self.home_prior
-            spread = HOME_SPREAD * n * self.asked_prefix.get(request.prefix, 0.0) + prior * HOME_USUAL
+            prior = HOME_PRIOR
+            usual = max(HOME_USUAL, HOME_PART * n)
+            spread = HOME_SPREAD * n * self.asked_prefix.get(request.prefix, 0.0) + prior * usual
             least = HOME_LEAST
             while least < min(n, spread / (prior + self.asked_prefixes)):
                 least *= 2
@@ -873,10 +904,13 @@
         waits until the budget has paid for it; they begin at random points, so that not all start at once."""
         settings = self.settings
         work = request.prompt_tokens + DECODE_TOKENS
+        # What tenants are due is told in requests, and so is what replicas can do: in such of the usual work, whether
+        # their prompts are kept or not. Reckoned by what has to be read, cold ones stood idle beside a jam.
+        usual = self.usual_work or work
         if replica.cold_debt < 0:
-            replica.cold_debt = self.random() * work
+            replica.cold_debt = self.random() * usual
             replica.cold_at = self.now
-        quota = settings.quota_rate * QUOTA_WORK / (max(1, self.most_ready) * settings.gateways)
+        quota = settings.quota_rate * usual / (max(1, self.most_ready) * settings.gateways)
         rate = max(self.work_borne, quota, work * 1e6 / (settings.cold_time * settings.gateways))
         spent = (self.now - replica.cold_at) / 1e6 * rate * self._capacity(replica)
         replica.cold_debt = max(0.0, replica.cold_debt - COLD_SAFETY * settings.tip_multiple * spent)
@@ -935,7 +969,9 @@
 
     def _learn(self, attempt: _Attempt, took: int) -> None:
         """One sample for the replica's fit: a recursive least squares step whose weights may drift."""
-        self._learn_pace(attempt, took)
+        if attempt.likely >= 1.0:
+            self._learn_pace(attempt, took)  # a cold replica's tokens come slowly without any crowd
+        took = int(took * attempt.likely)  # as it would take there warm: that is what is predicted from
         r = attempt.replica
         x1, x2 = attempt.load, float(attempt.streams)
         if r.fitted < 0 or self.now - r.fitted > 2 * self.fade:
--- a/pearstall/interface.py
+++ b/pearstall/interface.py
@@ -181,6 +181,7 @@
     prefix_tokens: float = 0.0
     tenant: int = 0
     work_hint: int = 0  # expected work; 0: not told
+    repeated: bool = False  # its client asked before, and got no answer; only where clients mark this
 
 
 @dataclass(slots=True)
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -137,6 +137,7 @@
     prefix: int = 0
     prefix_tokens: float = 0.0
     tenant: int = 0
+    repeated: bool = False  # its client says that it asked before
     streams: bool = True  # else the client gets the answer whole, at its end
     handle: int = 0
     taken: float = 0.0
@@ -262,6 +263,7 @@
                 query.prefix,
                 query.prefix_tokens,
                 query.tenant,
+                repeated=query.repeated,
             )
         )
         return handle
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -99,6 +99,7 @@
             prefix=number_of(labels.text.get("prefix", "")),
             prefix_tokens=labels.number("prefix_len", 0.0),
             tenant=self.tenants.get(headers.get("x-org", ""), len(self.tenants)),
+            repeated=headers.get("x-resent", "").strip() == "1",
         )
 
     def names_answer(self, head: Head | None) -> str:
