--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -202,6 +202,34 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("leaving_first", [False, True])
+def test_sighup_with_other_classes_and_sigterm_in_either_order_answer_what_was_taken(
+    leaving_first: bool, tmp_path: Path
+) -> None:
+    """Classes take a restart: what is out is answered by those it came with, whichever signal comes first."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            waiting = asyncio.create_task(client.ask())
+            await until(lambda: any(query.passed for query in program.core.queries))
+            raw = json.loads((tmp_path / "config.json").read_text())
+            raw["settings"]["lanes"][1] |= {"value": 0, "aim": 0}
+            raw["settings"]["lanes"][0]["name"] = "other"
+            (tmp_path / "config.json").write_text(json.dumps(raw))
+            for signal_ in (program.leave, program.reload) if leaving_first else (program.reload, program.leave):
+                signal_()
+            server.go_on.set()
+            assert (await waiting)[0] == "served"
+            assert (await client.ask())[0] == "served"  # by the class as it was
+            assert program.counters.reloads == 1 and program.counters.exceptions == 0
+            client.close()
+
+    asyncio.run(scene())
+
+
 def config_file(folder: Path, **changes: Any) -> Path:
     path = folder / "config.json"
     port = free_port()
