--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -819,11 +819,10 @@
         if request.prefix:
             call.homes_from = bisect_left(ring, _mix(request.prefix), key=_mark)
             # Few requests tell little of a share, and gateways that differ in it differ in a session's home.
-            prior = HOME_PRIOR
             usual = max(HOME_USUAL, HOME_PART * n)
-            spread = HOME_SPREAD * n * self.asked_prefix.get(request.prefix, 0.0) + prior * usual
+            spread = HOME_SPREAD * n * self.asked_prefix.get(request.prefix, 0.0) + HOME_PRIOR * usual
             least = HOME_LEAST
-            while least < min(n, spread / (prior + self.asked_prefixes)):
+            while least < min(n, spread / (HOME_PRIOR + self.asked_prefixes)):
                 least *= 2
             call.homes = min(n, least)
         if request.session and n:
--- a/tests/test_classes.py
+++ b/tests/test_classes.py
@@ -103,7 +103,7 @@
 
 def test_prompts_larger_than_any_cold_budget_go_to_cold_replicas_too() -> None:
     """Where all are new, as after a release. What tenants are due is told in requests: reckoned as 2,000 tokens each,
-    all routers together sent a fleet that was due 80 such prompts a second none in its first 15 s."""
+    a router sent none of such prompts while the replicas were cold."""
     cold = [entry(n, started=START - 2 * S) for n in range(40)]
     made = settings({"give_up": 30 * S, "aim": 8 * S}, **FLEET | {"gateways": 20, "quota_rate": 80.0})
     (share,) = served(Gateway(made, cold, seed=4), 900 * MS, asks=60, prompt_tokens=30_000.0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -249,8 +249,8 @@
 
 
 def test_what_is_out_to_all_homes_together_is_bounded() -> None:
-    """A home takes a stream of each router, and every server is home to some: 283 executions a second went on to
-    serve 100, long after the roll that had begun it."""
+    """A home takes a stream of each router, and every server is home to some: 283 executions a second went on
+    for 125 first tokens, long after the roll that had begun it."""
     gateway = in_zones(200, 0)
     gateway.router.room, gateway.router.crowded = 10.0 / 200, True  # late first tokens were seen
     sent = 0
