--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -134,6 +134,7 @@
     method: str = "POST"
     target: str = "/v1/chat/completions"
     body: bytes = b""
+    headers: str = ""  # lines that go on to the model server as they came
     txn: str = ""  # the client's own id; none is ever made up
     prompt_tokens: float = 0.0
     session: int = 0
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -15,6 +15,15 @@
 PATH = "/v1/chat/completions"
 HEALTH = "/_health"
 LONGEST_WAIT = 3600.0
+# Every other header of a client goes on to the model server, like the idempotency key of a class that has one: these
+# are of one connection only (RFC 9110, 7.6.1), worded anew, or for the router.
+NOT_PASSED_ON = frozenset(
+    (
+        *("connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te"),
+        *("trailer", "transfer-encoding", "upgrade", "host", "expect", "content-length", "content-type"),
+        *("x-txn", "x-remaining", "x-lane", "x-org", "x-entity", "x-labels", "x-resent"),
+    )
+)
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,12})')
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 
@@ -54,6 +63,16 @@
         return otherwise if value is None else value
 
 
+def end_to_end_headers(head: Head) -> str:
+    """The lines of a request's head that belong to its receiver, not to this connection."""
+    named = {name.strip().lower() for name in head.headers.get("connection", "").split(",")}
+    return "".join(
+        f"{name}: {value}\r\n"
+        for name, value in head.headers.items()
+        if name not in NOT_PASSED_ON and name not in named
+    )
+
+
 class PlatformFront:
     def __init__(self, names: Names) -> None:
         self.lanes = {lane.name: number for number, lane in enumerate(names.lanes)}
@@ -93,6 +112,7 @@
             method=head.method,
             target=head.target,
             body=body,
+            headers=end_to_end_headers(head),
             txn=txn,
             prompt_tokens=labels.number("prompt_len", len(body) / 4),
             session=number_of(headers.get("x-entity", "")),
@@ -125,7 +145,7 @@
         head = (
             f"{query.method} {query.target} HTTP/1.1\r\nHost: {address[0]}:{address[1]}\r\n"
             f"X-Txn: {query.txn}\r\nX-Remaining: {max(0.001, patience):.3f}\r\n"
-            f"Content-Type: application/json\r\nContent-Length: {len(query.body)}\r\n\r\n"
+            f"{query.headers}Content-Type: application/json\r\nContent-Length: {len(query.body)}\r\n\r\n"
         )
         return head.encode("latin-1") + query.body
 
