Mend what crosses at starts, closes and reused connections, each with a test

Found by reading, each forced by a test in tests/test_crossings.py that failed before: - Accepted sockets had no TCP_NODELAY: asyncio sets it where a socket's protocol says TCP, and _bound (serve.py) made the listener with 0. Small events waited for acknowledgements, and a reset took them along. - SIGHUP, SIGTERM or SIGUSR1 between the start and the handlers ended the process: now held pending until then. - A second answer that came some milliseconds late, on a connection used again, passed for the next request's: a connection rests 50 ms between two requests (server_link.py, start). - A pipelined request's time ran from the end of the answer before, not from its sending (client_link.py, _read). - A client that flooded and read nothing was closed only once it had read: its request held a model server. - Closed connections were reset after 1 s though their client still read; the program ended with answers unsent.

--- a/pearstall/__main__.py
+++ b/pearstall/__main__.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import argparse
-import asyncio
+import signal
 import sys
 
-from pearstall.net.config import ConfigError, read_config
-from pearstall.net.serve import run
+# A signal whose handler does not stand yet ends the process. Until the loop handles them they stay pending, so that
+# a SIGHUP during the start is a reload after it.
+HANDLED_BY_LOOP = {signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1}
 
 
 def main() -> int:
@@ -15,18 +16,25 @@
         from pearstall.cli.main import main as commands  # with its libraries; the platform needs neither
 
         return commands()
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_BY_LOOP)
     parser = argparse.ArgumentParser(prog="pearstall", description="A router for model servers.")
     parser.add_argument("--config", default="", help="the configuration; else what EDGE_CONFIG names")
     parser.add_argument("--operators", "--openai", default="", help="the operators' settings (KDL): further fronts")
     parser.add_argument("--inventory", default="", help="a CSV or YAML list of model servers, not discovery")
     parser.add_argument("--trace", action="store_true", help="every event and action as a line, for experiments")
     given = parser.parse_args()
+    return serve(given)
+
+
+def serve(given: argparse.Namespace) -> int:
+    import asyncio  # most of the start's time: after the signals are held back
+
+    from pearstall.net.config import ConfigError, read_config
+    from pearstall.net.serve import run
+
     try:
-        asyncio.run(
-            run(
-                read_config(operators=given.operators, inventory=given.inventory, config=given.config), given.trace
-            )
-        )
+        config = read_config(operators=given.operators, inventory=given.inventory, config=given.config)
+        asyncio.run(run(config, given.trace))
     except ConfigError as error:
         print(f"pearstall: {error}", file=sys.stderr)
         return 2
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -70,6 +70,7 @@
         self.parts: list[bytes] = []
         self.size = 0
         self.came = 0.0
+        self.ahead_since = 0.0  # when the oldest bytes came that wait behind the query under way; 0: none do
         self.query: Query | None = None  # the one under way
         self.holder: Holder = owner.core
         self.busy = False
@@ -82,6 +83,11 @@
         self.closing = False
         self.deadline: Deadline | None = None
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of its answers that still wait here for the client to read."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
     @property
     def idle(self) -> bool:
         return not self.busy and self.head is None and not len(self.buffer)
@@ -116,17 +122,17 @@
 
     def retire(self) -> bool:
         """Closes the link between two queries, but not on one that has come and was not read yet."""
-        quiet = self.idle and self.transport is not None and not pending(self.transport)
+        quiet = self.idle and self.transport is not None and not self.unsent and not pending(self.transport)
         if quiet:
             self.close()
         return quiet
 
     def too_slow(self) -> None:
         """Its query has not come whole in time, or its place is wanted. Who said nothing is told nothing."""
-        if self.transport is not None and self.transport.get_write_buffer_size():
-            self.transport.abort()  # nor does it read what it was told
-        elif self.closing:
+        if self.closing:
             self.abort()
+        elif self.unsent:
+            self._linger()  # it may still read what it was told
         elif self.idle:
             if not self.retire():
                 self._wait(INVITE, self.too_slow)  # a query has come and is about to be read
@@ -150,8 +156,11 @@
             self.buffer.skip(len(self.buffer))
             return
         if self.busy:
+            self.ahead_since = self.ahead_since or self.owner.deadlines.clock.time()
             if len(self.buffer) > MOST_AHEAD:
-                self.close()  # nobody sends so much ahead, and paused reading would hide that it has gone
+                # Nobody sends so much ahead, and paused reading would hide that it has gone. Not closed in the
+                # usual way, which would wait until it has read what it was sent: it may never do so.
+                self.abort()
             return
         try:
             self._read()
@@ -168,7 +177,8 @@
         while not self.busy and not self.closing and len(self.buffer):
             if self.head is None:
                 if not self.came:
-                    self.came = self.owner.deadlines.clock.time()
+                    # The client's time runs from its sending, not from the end of the answer before.
+                    self.came = self.ahead_since or self.owner.deadlines.clock.time()
                     if self.carried:  # the first one's time runs from the accept
                         self._wait(READ_LIMIT, self.too_slow)
                     self.owner.reading(self)
@@ -208,6 +218,8 @@
                 return
             if not self.body.done:
                 return
+            now = self.owner.deadlines.clock.time()
+            self.ahead_since = self.ahead_since or now if len(self.buffer) else 0.0
             self._whole(self.head, b"".join(self.parts))
 
     def _whole(self, head: Head, body: bytes) -> None:
@@ -300,7 +312,7 @@
         if not self.framed and self.transport is not None:
             self.transport.abort()  # only a reset tells such a client from a whole stream's end
         self.close()
-        self._wait(LINGER, self.abort)  # one that doesn't read must not wait for what it has left unread
+        self._end_unless_read()
 
     def refuse(self, retry_after: int) -> None:
         self.owner.counters.refused += 1
@@ -349,7 +361,7 @@
             return
         self.buffer.rest()
         if self.owner.leaving:
-            self._wait(INVITE, self.retire)  # not told to go: the next query may be on its way
+            self._wait(INVITE, self.too_slow)  # not told to go: the next query may be on its way
         else:
             self._wait(IDLE_LIMIT, self.too_slow)
         if len(self.buffer):
@@ -361,7 +373,16 @@
         self.buffer.skip(len(self.buffer))
         if self.transport is not None and not self.transport.is_closing():
             end_sending(self.transport)
-            self._wait(LINGER, self.abort)
+            self._end_unless_read()
+
+    def _end_unless_read(self, unsent_before: int = -1) -> None:
+        """A closed link goes once its client has had the time to read: a slow one gets more for as long as it
+        reads, and one that reads nothing must not hold the link for what it has left unread."""
+        unsent = self.unsent
+        if unsent_before >= 0 and not 0 < unsent < unsent_before:
+            self.abort()
+        else:
+            self._wait(LINGER, lambda: self._end_unless_read(unsent))
 
     def close(self) -> None:
         self.closing = True
@@ -438,7 +459,7 @@
     def _end_resting(self) -> bool:
         for other in list(islice(self.resting, LOOKS)):
             self.lost(other)
-            if other.closing:
+            if other.closing or other.unsent:  # its descriptor is needed, and it does not read
                 other.abort()
                 return True
             if other.retire():
@@ -474,8 +495,8 @@
         """The program is about to end: links between two queries are closed, the rest after their answer."""
         self.leaving = True
         for link in self.links:
-            if link.carried:
-                link.retire()
+            if link.carried and link.idle and not link.closing:
+                link.too_slow()
 
     def hurry(self) -> None:
         """It may be killed from now on: no link stays open on which a query could still come whole."""
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -73,7 +73,10 @@
 
 
 def _bound(host: str, port: int) -> socket.socket:
-    end = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    # Accepted sockets inherit the protocol's number, and asyncio sets TCP_NODELAY only where it says TCP: with the
+    # default, 0, the kernel held small events back until the client had acknowledged the ones before.
+    end = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         end.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         end.bind((host, port))
@@ -190,9 +193,9 @@
     def _look(self) -> None:
         now = self.loop.time()
         stayed = now - self.leaving_from >= STAY and now - self.clients.latest >= QUIET
-        reading = any(not link.idle and not link.closing for link in self.clients.links)
+        owing = any(link.closing or not link.idle or link.unsent for link in self.clients.links)
         settled = self.edge is None or self.edge.settled
-        if stayed and not len(self.core.queries) and not reading and settled:
+        if stayed and not len(self.core.queries) and not owing and settled:
             self.ended.set()
         else:
             self.deadlines.after(0.05, self._look)
@@ -244,10 +247,15 @@
         program.traced()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(program.exception)
-    loop.add_signal_handler(signal.SIGTERM, program.leave)
-    loop.add_signal_handler(signal.SIGINT, program.leave)
-    loop.add_signal_handler(signal.SIGUSR1, program.print_counters)
-    loop.add_signal_handler(signal.SIGHUP, program.reload)
+    handlers = {
+        signal.SIGTERM: program.leave,
+        signal.SIGINT: program.leave,
+        signal.SIGUSR1: program.print_counters,
+        signal.SIGHUP: program.reload,
+    }
+    for number, handler in handlers.items():
+        loop.add_signal_handler(number, handler)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)  # what came during the start is handled now
     try:
         await program.start()
     except OSError as error:
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -20,6 +20,9 @@
 Address = tuple[str, int]
 LARGEST_BLAME = 64 * 1024
 MOST_AHEAD = 16  # 1xx answers before the one that counts
+# A server may send a second answer some milliseconds behind the first. On a connection that was used again meanwhile
+# it would pass for the next request's, so a connection rests for this long between two requests.
+REST_BEFORE_REUSE = 0.05
 
 
 class ServerForm(Protocol):
@@ -55,6 +58,7 @@
         self.passed = self.ended = False
         self.blame: list[bytes] = []  # the body of an error
         self.deadline: Deadline | None = None  # of the connect, then of being idle
+        self.idle_since = 0.0
 
     # -- one execution -------------------------------------------------------------------------------------
 
@@ -309,17 +313,10 @@
             return None
         address, form = found
         until = self.deadlines.clock.time() + patience
-        waiting = self.idle.get(address)
-        while waiting:
-            link = waiting.pop()  # the latest used: the others get to close
-            if link.closed or link.transport is None or link.transport.is_closing():
-                continue
-            if pending(link.transport):
-                link.close()  # its end has come but was not read yet: the query would be a reset
-            else:
-                self.counters.server_links_reused += 1
-                link.begin(execution, form, until)
-                return link
+        if (link := self._take_idle(address)) is not None:
+            self.counters.server_links_reused += 1
+            link.begin(execution, form, until)
+            return link
         if len(self.links) >= self.most:
             self._make_room()
         link = ServerLink(self, address)
@@ -328,6 +325,19 @@
         link.connect(self.connect_limit)
         return link
 
+    def _take_idle(self, address: Address) -> ServerLink | None:
+        """The latest used one that has rested: the others get to close."""
+        rested_since = self.deadlines.clock.time() - REST_BEFORE_REUSE
+        for link in reversed(self.idle.get(address, [])):
+            if link.idle_since > rested_since or link.closed:
+                continue
+            if link.transport is None or link.transport.is_closing() or pending(link.transport):
+                link.close()  # its end has come but was not read yet: the query would be a reset
+                continue
+            self.idle[address].remove(link)
+            return link
+        return None
+
     def _make_room(self) -> None:
         for links in self.idle.values():
             if links:
@@ -335,6 +345,7 @@
                 return
 
     def free(self, link: ServerLink) -> None:
+        link.idle_since = self.deadlines.clock.time()
         self.idle.setdefault(link.address, []).append(link)
         link.deadline = self.deadlines.after(self.idle_limit, link.close)
 
--- a/tests/net_support.py
+++ b/tests/net_support.py
@@ -228,6 +228,8 @@
         events = stream(self.form, self.seen[-1][0].path == PATH)
         if what == "flood":
             events = FLOOD
+        if what == "late second" and self.links == 1:
+            writer.write(HEAD + b"9\r\ndata: z\n\n\r\n0\r\n\r\n")  # to a request that was answered before
         writer.write(MORE["report"] if what == "report" else MORE.get(what, b"") + HEAD)
         for number, event in enumerate(events):
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,280 @@
+"""Two things that happen in the same moment, one test a pair; docs/design/crossings.md lists them.
+
+The order is forced: by the peers on loopback sockets, by a file that the program waits for, or by holding the loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import pytest
+
+from pearstall.models.client import Transport
+from pearstall.net import server_link
+from pearstall.net.client_link import LINGER, MOST_AHEAD, ClientLink, ClientLinks
+from pearstall.net.config import Named, Names
+from pearstall.net.platform import PlatformFront
+from tests.net_support import LOCAL, PATH, Client, ModelServer, free_port, running, setup, stream, until
+from tests.test_core import Scene
+
+ROOT = Path(__file__).parent.parent
+
+
+def request(number: int, wait: float = 60.0) -> bytes:
+    head = f"POST {PATH} HTTP/1.1\r\nX-Txn: {number}\r\nX-Lane: chat\r\nX-Remaining: {wait}\r\n"
+    return f"{head}Content-Length: 2\r\n\r\n{{}}".encode()
+
+
+def no_delay(transport: asyncio.BaseTransport | None) -> bool:
+    assert transport is not None
+    end: socket.socket = transport.get_extra_info("socket")
+    return bool(end.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+
+
+def test_small_events_are_not_held_back_on_either_side(tmp_path: Path) -> None:
+    """Without TCP_NODELAY the kernel keeps an event until the one before is acknowledged; a reset takes it along."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            await client.send()
+            await until(lambda: any(query.passed for query in program.core.queries))
+            (downstream,) = program.clients.links
+            (upstream,) = program.servers.links
+            assert no_delay(downstream.transport) and no_delay(upstream.transport)
+            server.go_on.set()
+            client.close()
+
+    asyncio.run(scene())
+
+
+# -- the start ---------------------------------------------------------------------------------------------
+
+
+class HeldAtItsConfiguration:
+    """A process that reads its configuration from a pipe, and so waits there until a test has written it."""
+
+    def __init__(self, folder: Path) -> None:
+        self.pipe = folder / "config"
+        os.mkfifo(self.pipe)
+        command = [sys.executable, "-m", "pearstall", "--config", str(self.pipe)]
+        self.process = subprocess.Popen(command, cwd=ROOT, stderr=subprocess.PIPE, text=True)
+
+    def __enter__(self) -> HeldAtItsConfiguration:
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        self.process.kill()
+        self.process.communicate()
+
+    def reading(self) -> int:
+        """The pipe's other end, once the program waits at it."""
+        while self.process.poll() is None:
+            try:
+                return os.open(self.pipe, os.O_WRONLY | os.O_NONBLOCK)
+            except OSError:  # nobody reads yet
+                time.sleep(0.005)
+        raise AssertionError(f"the program has ended with {self.process.returncode}")
+
+    def give(self, end: int) -> None:
+        """The configuration, and a new pipe in the place of this one."""
+        self.pipe.unlink()
+        os.mkfifo(self.pipe)
+        where = {"listen": f"{LOCAL}:{free_port()}", "discovery": f"{LOCAL}:1"}
+        os.write(end, json.dumps({**where, "seed": "1", "settings": setup()}).encode())
+        os.close(end)
+
+
+def test_a_reload_told_during_the_start_is_made_after_it(tmp_path: Path) -> None:
+    with HeldAtItsConfiguration(tmp_path) as held:
+        end = held.reading()
+        held.process.send_signal(signal.SIGHUP)
+        held.process.send_signal(signal.SIGUSR1)
+        held.give(end)
+        held.give(held.reading())
+        held.process.send_signal(signal.SIGTERM)
+        _, errors = held.process.communicate(timeout=60)
+        assert held.process.returncode == 0
+        assert json.loads(errors.splitlines()[-1].partition(" ")[2])["reloads"] == 1
+
+
+def test_a_program_asked_to_end_during_its_start_ends_in_order(tmp_path: Path) -> None:
+    with HeldAtItsConfiguration(tmp_path) as held:
+        end = held.reading()
+        held.process.send_signal(signal.SIGTERM)
+        held.process.send_signal(signal.SIGTERM)
+        held.give(end)
+        _, errors = held.process.communicate(timeout=60)
+        assert held.process.returncode == 0 and "counters" in errors
+
+
+# -- upstream connections ----------------------------------------------------------------------------------
+
+
+def test_a_second_answer_that_comes_late_is_no_answer_to_the_next_request(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The server writes it only once the next request is on its way, on whichever connection that came."""
+    monkeypatch.setattr(server_link, "REST_BEFORE_REUSE", 60.0)
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "serve", "late second").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            for _ in range(2):
+                kind, _, body = await client.ask()
+                assert (kind, body) == ("served", b"".join(stream("platform")))
+            assert program.counters.outcomes == {"ok": 2}
+
+    asyncio.run(scene())
+
+
+def test_a_connection_that_has_rested_is_used_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """The latest used one of those: what the others have is left to close."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            clients = [Client("platform", ports["platform"], name) for name in "abc"]
+            await asyncio.gather(*(client.ask() for client in clients))
+            (links,) = program.servers.idle.values()
+            first, second, third = links
+            now = program.loop.time()
+            first.idle_since, second.idle_since, third.idle_since = now - 60.0, now - 50.0, now + 60.0
+            assert program.servers._take_idle(first.address) is second
+            assert program.servers._take_idle(first.address) is first
+            assert program.servers._take_idle(first.address) is None and links == [third]
+
+    asyncio.run(scene())
+
+
+# -- downstream connections --------------------------------------------------------------------------------
+
+
+def test_a_request_behind_another_keeps_the_time_at_which_it_was_sent(tmp_path: Path) -> None:
+    """Counted from the end of the answer before, its deadline would come too late by that whole answer."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "wait", "silent").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            wire = await Client("platform", ports["platform"]).connect()
+            wire.writer.write(request(1) + request(2))
+            await until(lambda: any(query.passed for query in program.core.queries))
+            sent_by = program.loop.time()
+            server.go_on.set()
+            await until(lambda: len(server.seen) == 2)
+            (second,) = [query for query in program.core.queries if query.txn == "2"]
+            assert second.deadline <= sent_by + 60.0
+            wire.writer.close()
+
+    asyncio.run(scene())
+
+
+def test_a_client_that_floods_and_reads_nothing_is_ended_with_its_request(tmp_path: Path) -> None:
+    """Closed in the usual way, its connection would wait for it to read, and hold its model server meanwhile."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "flood").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            end = socket.create_connection((LOCAL, ports["platform"]))
+            end.sendall(request(1))
+            await until(lambda: any(link.full for link in program.clients.links))
+            end.setblocking(False)
+            end.send(b"x" * 2 * MOST_AHEAD)
+            await until(lambda: not len(program.core.queries) and not len(program.clients.links))
+            await until(lambda: not server.open)
+            end.close()
+
+    asyncio.run(scene())
+
+
+class SlowTransport(Transport):
+    """A client that has yet to read so many bytes."""
+
+    unread = 100
+
+    def get_write_buffer_size(self) -> int:
+        return self.unread
+
+
+def slow_client(scene: Scene) -> tuple[ClientLink, SlowTransport]:
+    links = ClientLinks(scene.core, scene.counters, 10)
+    link, transport = ClientLink(links, PlatformFront(Names(lanes=[Named("chat")]))), SlowTransport()
+    link.connection_made(transport)
+    return link, transport
+
+
+def test_a_closed_connection_waits_for_a_client_as_long_as_that_reads() -> None:
+    scene = Scene()
+    link, transport = slow_client(scene)
+    link._linger()
+    for unread in (60, 30, 1):
+        transport.unread = unread
+        scene.clock.move(LINGER)
+        assert transport.half and not transport.closing
+    scene.clock.move(LINGER)  # it has read nothing since
+    assert transport.closing
+
+
+def test_an_answer_that_is_read_slowly_is_not_reset_between_two_requests() -> None:
+    scene = Scene()
+    link, transport = slow_client(scene)
+    link._next()
+    link.owner.leave()
+    link.owner.hurry()
+    assert link.closing and transport.half and not transport.closing
+
+
+def test_the_program_does_not_end_before_its_answers_are_read(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with running(tmp_path, []) as (program, ports):
+            link = ClientLink(program.clients, program.fronts[LOCAL, ports["platform"]])
+            transport = SlowTransport()
+            link.connection_made(transport)
+            program.leaving_from = program.clients.latest = program.loop.time() - 60.0
+            program._look()
+            assert not program.ended.is_set()
+            transport.unread = 0
+            program._look()
+            assert program.ended.is_set()
+            link.connection_lost(None)
+
+    asyncio.run(scene())
+
+
+# -- what a request brings along ---------------------------------------------------------------------------
+
+
+def test_headers_of_the_request_go_on_and_those_of_its_connection_do_not(tmp_path: Path) -> None:
+    """A class that may be repeated within a window has a key by which model servers know a repeat."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "error").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            wire = await client.connect()
+            extra = b"Idempotency-Key: k-1\r\nTraceparent: 00-1\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
+            wire.writer.write(request(1).replace(b"X-Txn", extra + b"X-Txn", 1))
+            assert (await client.answer())[0] == "served"
+            for head, _ in server.seen:
+                assert (head.headers["idempotency-key"], head.headers["traceparent"]) == ("k-1", "00-1")
+                assert not {"x-hop", "x-lane", "connection", "transfer-encoding"} & set(head.headers)
+            assert len(server.seen) == 2 and program.counters.exceptions == 0
+
+    asyncio.run(scene())
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -14,6 +14,7 @@
 import pytest
 
 from pearstall.models.client import Transport
+from pearstall.net import server_link
 from pearstall.net.client_link import ClientLink
 from pearstall.net.server_link import ServerLink
 from tests.net_support import (
@@ -35,6 +36,12 @@
 both_forms = pytest.mark.parametrize("form", ["platform", "openai"])
 
 
+@pytest.fixture
+def reused_at_once(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Links to servers need not rest between two requests, so that each reuse shows."""
+    monkeypatch.setattr(server_link, "REST_BEFORE_REUSE", -1.0)
+
+
 def run(scene: Coroutine[Any, Any, None]) -> None:
     asyncio.run(scene)
 
@@ -172,7 +179,9 @@
 
 
 @both_fronts
-def test_what_a_server_finds_wrong_with_a_query_is_told_and_ejects_nobody(front: str, tmp_path: Path) -> None:
+def test_what_a_server_finds_wrong_with_a_query_is_told_and_ejects_nobody(
+    front: str, tmp_path: Path, reused_at_once: None
+) -> None:
     """Else each bad query would be tried three times, and three of them would eject a good server."""
 
     async def scene() -> None:
@@ -189,7 +198,7 @@
     run(scene())
 
 
-def test_old_and_hasty_clients_are_served_in_their_turn(tmp_path: Path) -> None:
+def test_old_and_hasty_clients_are_served_in_their_turn(tmp_path: Path, reused_at_once: None) -> None:
     """Two queries in one write; one that waits for 100; and HTTP/1.0, which knows no chunks."""
     ask = "POST /v1/chat/completions HTTP/1.{}\r\nX-Txn: {}\r\nX-Lane: chat\r\nX-Remaining: 6\r\n{}\r\n"
     length = "Content-Length: 2\r\n"
@@ -392,7 +401,7 @@
 @both_forms
 @pytest.mark.parametrize("what", [*SPOILT, *MORE])
 def test_what_a_server_spoils_goes_elsewhere_or_ends_and_its_link_is_used_no_more(
-    what: str, front: str, form: str, tmp_path: Path
+    what: str, front: str, form: str, tmp_path: Path, reused_at_once: None
 ) -> None:
     """Before the first event it is a failed attempt that may have run; the link stays open, so the deadline
     would pass while waiting. Later the client's link ends without the last chunk. Good answers are served."""
