Keep repeats in their window, drains and ends at any settings, and ask discovery within 6 s

Where clients don't ask for the rest, none is begun from 0.5 s after SIGTERM on: refused, with the connection ended. Where they do, nothing changes. - server_link.py, connection_made: a server that began to drain, or whose time ended, while its connection came up was sent the request all the same; with a grace below the connect's time that breaks the rule. Found by reading. - choice.py, _ask_span: after four failed calls gateways asked only each 8 to 18 s, against the term of 6 s. Now never later than each 4.5 s, each at its own place.

Tests in tests/test_crossings.py, test_fleet.py, test_lists.py. One test is replaced: it asked that nine in ten routers have a watch after 45 s where discovery serves a tenth of them a second, which can only be had by asking later; now all forty have one 6 s after theirs ended where it serves a quarter. The test of the program's end tells its settings that streams are resumed.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -120,6 +120,7 @@
 ROOM_LATE_PART = 0.5  # of the aim: a first token later than that tells of a crowd
 RETRY_SHARE = 0.5  # executions after a time-out, as a share of requests: a general failure multiplies no load
 RETRY_BURST = 5.0
+REPEAT_TRANSIT = 100_000  # microseconds from the first byte of a repeat to its arrival at the replica
 SHUT_FIRST = 0.25  # a refused connect keeps a replica out of the pick for this many shortest aims
 SHUT_LONGEST = 8.0  # doubled at each refusal in a row, up to so many
 TOLD_BY = 6_000_000  # a change counts as told so long after discovery had it and could be reached, heard or not
@@ -127,9 +128,7 @@
 ASK_TOGETHER = 8  # so few ask at once when they start
 ASK_START = 2 / 3  # at most so much of it, when gateways start
 ASK_LOST = 5 / 12  # when watches end; to notice that one has fallen silent takes as long
-ASK_AGAIN = 3 / 4  # and while calls fail, so that one falls into this time whenever discovery comes back
-ASK_OFTEN = 4  # so many calls fail after one another before many gateways' become rarer: it can't serve one each
-ASK_RARELY = 3.0  # and are spread over this
+ASK_AGAIN = 3 / 4  # and while calls fail, however long: one falls into this time whenever discovery comes back
 ASK_JITTER = 0.05
 SUBSCRIBE_TAG = 1 << 60  # timer tags below this are request ids
 
@@ -544,7 +543,9 @@
             return True
         if call.klass.effect == Effect.SIDE_EFFECT:
             return False
-        return self.now < first.sent + call.klass.window
+        # The repeat has to arrive within the window: its connection may take so long to come up.
+        arrives_by = self.now + self.settings.connect_timeout + REPEAT_TRANSIT
+        return arrives_by < first.sent + call.klass.window
 
     def may_refuse(self, id: int) -> bool:
         """Whether a refusal would be true of a request: that to ask again does no harm."""
@@ -1254,8 +1255,7 @@
     def _ask_span(self, asked: int, first: float) -> float:
         """Over what time the gateways' calls are spread that come after so many in vain."""
         over = ASK_GATEWAY * self.settings.gateways
-        rarely = max(ASK_AGAIN, min(ASK_RARELY, 4 * over))
-        most = first if asked < 1 else ASK_AGAIN if asked < ASK_OFTEN else rarely
+        most = first if asked < 1 else ASK_AGAIN
         told_by = min(TOLD_BY, self.settings.must_ask_in)
         return told_by * min(most, over * 2.0 ** min(asked, 9)) if asked >= 0 else 0.0
 
--- a/pearstall/models/mutants.py
+++ b/pearstall/models/mutants.py
@@ -160,7 +160,7 @@
     Mutant(
         "a snapshot keeps what it doesn't name",
         G + "take",
-        "self.addresses, self.types = {}, {}",
+        "self.addresses, self.types, self.draining = {}, {}, set()",
         "pass",
         "list",
         "changes",
--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -44,6 +44,7 @@
         self.kinds = {name: number for number, name in enumerate(names.models)}
         self.addresses: dict[int, tuple[str, int]] = {}
         self.types: dict[int, str] = {}
+        self.draining: set[int] = set()
         self.index = -1
         # One offset for the whole run: a start told twice must come out as the same time both times.
         self.offset = core.clock() - now()
@@ -51,13 +52,16 @@
         self.told: Callable[[], None] = lambda: None
 
     def take(self, news: HostList, kind: int) -> None:
+        if kind == ListKind.DELTA and 0 <= news.index < self.index:
+            # Changes older than the list held would undo newer ones: a server that drains would seem ready again.
+            news = HostList([], self.index, False, news.skipped + len(news.hosts))
         self.core.counters.list_entries_skipped += news.skipped
         if self.subset is not None:
             news = self.subset.take(news, kind != ListKind.DELTA)
         if news.index >= 0:
             self.index = news.index
         if kind != ListKind.DELTA:
-            self.addresses, self.types = {}, {}
+            self.addresses, self.types, self.draining = {}, {}, set()
         replicas = [self._replica(host) for host in news.hosts]
         if not (kind == ListKind.DELTA and not replicas):
             self.core.listed(ReplicaList(kind, replicas))
@@ -68,6 +72,9 @@
     def _replica(self, host: Host) -> Replica:
         id = number_of(host.name)
         where = split_address(host.address)
+        self.draining.discard(id)
+        if host.status == "draining":
+            self.draining.add(id)
         if host.status == "gone" or where is None:
             self.addresses.pop(id, None)
             self.types.pop(id, None)
--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -12,7 +12,7 @@
 
 from pearstall.interface import Settings
 from pearstall.net.inventory import HostList, read_host_list
-from pearstall.settings import settings_from_wire
+from pearstall.settings import settings_from_wire, without_nulls
 
 if TYPE_CHECKING:  # the platform's `run` has no such file, and imports none of this
     from pearstall.config.operators import Operators
@@ -79,7 +79,7 @@
     discovery: str = ""
     seed: str | int = 0
     limits: Limits = msgspec.field(default_factory=Limits)
-    known: msgspec.Raw = msgspec.Raw(b"null")
+    known: msgspec.Raw = msgspec.Raw(b"null")  # of another form: read entry by entry
     settings: msgspec.Raw = msgspec.Raw(b"null")
 
 
@@ -125,7 +125,7 @@
 def read_config(
     env: Mapping[str, str] = os.environ, operators: str = "", inventory: str = "", config: str = ""
 ) -> Config:
-    raw = _decode(_read(config or env.get("EDGE_CONFIG", ""), "EDGE_CONFIG"), Raw, "configuration")
+    raw = _raw(_read(config or env.get("EDGE_CONFIG", ""), "EDGE_CONFIG"))
     try:
         settings = settings_from_wire(bytes(raw.settings))
     except ValueError as error:
@@ -165,6 +165,16 @@
     )
 
 
+def _raw(text: bytes) -> Raw:
+    """A key whose value is null counts as absent."""
+    parts = _decode(text, dict[str, msgspec.Raw], "configuration")
+    known = parts.pop("known", msgspec.Raw(b"null"))
+    whole = without_nulls({key: msgspec.json.decode(part) for key, part in parts.items()})
+    raw = _decode(msgspec.json.encode(whole), Raw, "configuration")
+    raw.known = known
+    return raw
+
+
 def read_again(held: Config) -> Config:
     """The same files once more. The environment is as old as the process: where the file names another
     discovery than before, that goes before what the environment said, now and from then on."""
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -155,7 +155,7 @@
 class Execution:
     """One attempt of a query."""
 
-    __slots__ = ("query", "number", "replica", "began", "started", "ended", "timeout", "carrier",
+    __slots__ = ("query", "number", "replica", "began", "until", "started", "ended", "timeout", "carrier",
                  "latest", "paused")  # fmt: skip
 
     def __init__(self, query: Query, number: int, replica: int, began: float) -> None:
@@ -163,6 +163,7 @@
         self.number = number
         self.replica = replica
         self.began = began
+        self.until = began  # the router waits for its first event
         self.started = False  # its first event came
         self.ended = False
         self.timeout: Deadline | None = None
@@ -191,6 +192,7 @@
         self.servers = servers
         self.queries: Slots[Query] = Slots()
         self.hurried = False
+        self.taking = True
         self.latest = 0.0  # when a query was taken last
         self.open_ids: set[str] = set()  # the clients' own, of the queries in the slots
         self.router = Router(settings, seed)
@@ -257,7 +259,7 @@
             self.open_ids.add(query.txn)
         if self.trace is not None:
             self.trace.query(handle, query.txn)
-        if self.hurried:
+        if self.hurried or not self.taking:
             self._answer(handle, partial(_refuse, 0))
             return handle
         query.guard = self.deadlines.at(query.deadline + GUARD, lambda: self._overdue(query))
@@ -342,19 +344,23 @@
         patience = min(action.timeout / 1e6, left) if action.timeout else left
         self.counters.executions += 1
         query.answer.again()
-        execution.timeout = self.deadlines.at(now + patience, lambda: self._timed_out(execution))
+        execution.until = now + patience
+        execution.timeout = self.deadlines.at(execution.until, lambda: self._timed_out(execution))
         execution.carrier = self.servers.start(execution, patience)
         if execution.carrier is None:
             self._ended(execution, Result.MOOT)
 
-    def wanted(self, execution: Execution) -> bool:
-        """Whether it is still to be sent, now that the way to the server is open."""
+    def wanted(self, execution: Execution, listed: bool) -> bool:
+        """Whether it is still to be sent, now that the way to the server is open; `listed`: the server still takes
+        new requests there."""
         query = execution.query
         if query.answer.gone():
             self.client_gone(query.handle)
         if query.over:
             self._give_up(execution, Result.CANCELLED)
-        return not query.over
+        elif not listed or self.clock() >= execution.until:
+            self._give_up(execution, Result.MOOT)  # nothing of it was written
+        return not execution.ended
 
     def _timed_out(self, execution: Execution) -> None:
         self._give_up(execution, Result.TIMEOUT)
@@ -419,6 +425,10 @@
                 self._answer(query.handle, lambda answer: answer.cut())
                 self.tell(ClientGone(query.handle))
 
+    def stop_taking(self) -> None:
+        """What comes from now on is refused: it could not be answered to its end here."""
+        self.taking = False
+
     def hurry(self, resumable: bool, late: float) -> None:
         """The program is about to be killed: whoever waits for a first event may ask elsewhere in time, and
         so may from now on whoever asks. Streams run on until the end, and many finish before it; only those
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -163,8 +163,8 @@
 
     def _where(self, replica: int) -> tuple[tuple[str, int], ServerForm] | None:
         address = self.cluster.addresses.get(replica)
-        if address is None:
-            return None
+        if address is None or replica in self.cluster.draining:
+            return None  # nothing new goes there
         return address, self.forms.get(self.cluster.types.get(replica, ""), self.form)
 
     def _listed(self) -> None:
@@ -185,11 +185,19 @@
             resumable = self.config.names.family.resume
             if resumable:
                 self.deadlines.after(MOVE_AFTER, self.core.move)
+            else:
+                self.deadlines.after(LATE, self.stop_taking)
             hurry = min(longest, KILLED_AFTER) + HASTE
             self.deadlines.after(hurry, partial(self.core.hurry, resumable, self.leaving_from + LATE))
             self.deadlines.after(hurry, self.clients.hurry)
             self._look()
 
+    def stop_taking(self) -> None:
+        """Where clients don't ask for the rest of a stream, one begun now would neither end before the program is
+        killed nor may it be cut: its client is better served by another router."""
+        self.core.stop_taking()
+        self.clients.leave()
+
     def _look(self) -> None:
         now = self.loop.time()
         stayed = now - self.leaving_from >= STAY and now - self.clients.latest >= QUIET
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -97,13 +97,19 @@
         self.transport = transport
         # No room above the socket's own: what is paused is partly written, what resumes is written whole.
         transport.set_write_buffer_limits(0)
-        if self.closed or self.execution is None or not self.owner.core.wanted(self.execution):
+        if self.closed or self.execution is None or not self._still_wanted(self.execution):
             self.close()
             return
         self._note("made")
         self._stop_clock()
         self._write()
 
+    def _still_wanted(self, execution: Execution) -> bool:
+        """While it came up, its client may have gone, its time passed, or its server begun to drain."""
+        found = self.owner.where(execution.replica)
+        listed = found is not None and found[0] == self.address
+        return self.owner.core.wanted(execution, listed)
+
     def _note(self, what: str) -> None:
         if (trace := self.owner.core.trace) is not None and self.execution is not None:
             trace.link(what, self.execution.replica)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -313,8 +313,8 @@
     assert between.said == ["send 0"] and not len(between.core.queries)
     connecting = Scene()
     connecting.ask()
-    assert connecting.core.wanted(connecting.out[0])
+    assert connecting.core.wanted(connecting.out[0], True)
     connecting.left = True
-    assert not connecting.core.wanted(connecting.out[0])
+    assert not connecting.core.wanted(connecting.out[0], True)
     assert connecting.out[0].ended and not len(connecting.core.queries)
     assert {scene.counters.clients_gone for scene in (before, between, connecting)} == {1}
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -18,12 +18,16 @@
 
 import pytest
 
+from pearstall.interface import ListKind, Result, Send
 from pearstall.models.client import Transport
-from pearstall.net import server_link
+from pearstall.net import serve, server_link
 from pearstall.net.client_link import LINGER, MOST_AHEAD, ClientLink, ClientLinks
 from pearstall.net.config import Named, Names
-from pearstall.net.platform import PlatformFront
+from pearstall.net.core import Carrier, Execution
+from pearstall.net.inventory import Host, HostList
+from pearstall.net.platform import PlatformFront, number_of
 from tests.net_support import LOCAL, PATH, Client, ModelServer, free_port, running, setup, stream, until
+from tests.support import MS, Gateway, S, of, settings
 from tests.test_core import Scene
 
 ROOT = Path(__file__).parent.parent
@@ -119,6 +123,30 @@
         assert held.process.returncode == 0 and "counters" in errors
 
 
+def test_streams_that_nobody_resumes_are_not_begun_shortly_before_the_kill(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Those under way run on to their end; a new one would be cut by it, and with it lost."""
+    assert serve.LATE < 0.7  # what comes later has to be answered before the kill
+    monkeypatch.setattr(serve, "LATE", 0.0)
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            first, second = (Client("platform", ports["platform"], name) for name in "ab")
+            await first.send()
+            await until(lambda: any(query.passed for query in program.core.queries))
+            program.leave()
+            await until(lambda: not program.core.taking)
+            kind, head, _ = await second.ask()
+            assert kind == "refused" and not head.keeps and len(server.seen) == 1
+            server.go_on.set()
+            assert (await first.answer())[0] == "served"
+
+    asyncio.run(scene())
+
+
 # -- upstream connections ----------------------------------------------------------------------------------
 
 
@@ -161,6 +189,56 @@
     asyncio.run(scene())
 
 
+def test_a_server_that_drains_while_its_connection_comes_up_is_sent_nothing(tmp_path: Path) -> None:
+    """Where connections take longer than the grace for drains, that would break the rule."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            servers = [await stack.enter_async_context(ModelServer("platform").listening()) for _ in range(2)]
+            program, ports = await stack.enter_async_context(running(tmp_path, servers))
+            begin, drained = program.servers.start, list[ModelServer]()
+
+            def drain_behind(execution: Execution, patience: float) -> Carrier | None:
+                carrier = begin(execution, patience)
+                if not drained:  # told in the turn after the pick, before the connection can be up
+                    name = next(name for name in ("s0", "s1") if number_of(name) == execution.replica)
+                    drained.append(servers[int(name[1])])
+                    host = Host(name, f"{LOCAL}:{drained[0].port}", "a", "m1", status="draining")
+                    program.loop.call_soon(program.cluster.take, HostList([host], 5, False), ListKind.DELTA)
+                return carrier
+
+            program.core.servers.start = drain_behind  # type: ignore[method-assign]
+            assert (await Client("platform", ports["platform"]).ask())[0] == "served"
+            assert not drained[0].seen and program.counters.outcomes == {"moot": 1, "ok": 1}
+            program.cluster.take(HostList([Host("s0", f"{LOCAL}:1", status="draining")], 3, False), ListKind.DELTA)
+            assert program.counters.list_entries_skipped == 1  # older than what is held
+
+    asyncio.run(scene())
+
+
+def test_a_connection_that_comes_up_at_the_end_of_its_time_is_not_written_to() -> None:
+    """The loop hands out what came on sockets before what is due in the same turn."""
+    scene = Scene()
+    query = scene.ask()
+    (attempt,) = scene.out
+    scene.clock.now = attempt.until
+    assert not scene.core.wanted(attempt, True)
+    assert attempt.ended and query.out == 0 or len(scene.out) == 2
+    assert scene.counters.outcomes == {"moot": 1}
+
+
+@pytest.mark.parametrize("after", [0.0, 0.5, 0.6, 0.7, 0.999, 1.0, 1.1])
+def test_a_repeat_arrives_within_its_window(after: float) -> None:
+    """Its connection may take the whole time that connects are given."""
+    window = 1 * S
+    rules = settings({"effect": "token", "window": window, "give_up": 9 * S}, connect_timeout=250 * MS)
+    gateway = Gateway(rules, 4)
+    id, _ = gateway.request(deadline=gateway.now + 9 * S)
+    gateway.now += int(after * S)
+    repeats = of(Send, gateway.outcome(id, Result.RESET))
+    assert len(repeats) == (after < 0.65)
+
+
 # -- downstream connections --------------------------------------------------------------------------------
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -24,8 +24,8 @@
 def discovery(seconds: int, per_second: float, wait: float, seed: int) -> tuple[int, int]:
     """Forty routers whose watches all end at once, before one service that takes calls one after another, each at its
     cost, also when it has waited too long, and holds some at most: watches after so long, and calls."""
-    made, room = settings(**FLEET), 16
-    routers = [Router(made, seed * 100 + n) for n in range(GATEWAYS)]
+    room = 16
+    routers = [Router(settings(**FLEET | {"gateway": n}), seed * 100 + n) for n in range(GATEWAYS)]
     due: list[tuple[int, int, str]] = []
     calls, free_at = 0, 0
     watching: set[int] = set()
@@ -66,9 +66,9 @@
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
 def test_watches_that_end_at_once_come_back_though_discovery_is_overbooked(seed: int) -> None:
-    watching, calls = discovery(45, 4.0, 2.0, seed)
-    assert watching >= 0.9 * GATEWAYS
-    assert calls < 5 * GATEWAYS
+    watching, calls = discovery(8, GATEWAYS / 4, 2.0, seed)  # they end at 2 s
+    assert watching == GATEWAYS
+    assert calls < 3 * GATEWAYS
 
 
 def test_routers_that_start_together_ask_apart() -> None:
@@ -455,9 +455,10 @@
 @pytest.mark.parametrize("gateways", [1, 30, 200, 1024])
 def test_the_list_is_held_within_the_time_after_which_a_change_counts_as_told(gateways: int) -> None:
     """It was 22 s at forty routers and more, and up to 9 s until a router that had just started asked at all."""
-    for down in (0.5, 3.0, 8.0, 11.0):
-        last, calls = lists_held(gateways, down)
-        assert last < 6.0 and calls < 3 + 2 * down
+    for down in (0.5, 3.0, 5.0, 8.0, 11.0, 20.0, 60.0):
+        for part in (0.25, 0.2) if down > 4.0 else (0.25,):
+            last, calls = lists_held(gateways, down, part=part)
+            assert last < 6.0 and calls < 3 + 2 * down
     last, _ = lists_held(gateways, 2.5, noticed=2.5, part=0.5)
     assert last < 3.5  # silent from 0 on
     for number in (0, gateways // 2, gateways - 1):
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -117,7 +117,9 @@
     async def scene() -> None:
         async with AsyncExitStack() as stack:
             (server,) = await stand(stack, form, ["serve", "wait"])
-            program, ports = await stack.enter_async_context(running(tmp_path, [server], form))
+            resumed = setup(familyInfo={"resume": True})  # else nothing is begun that the kill may cut
+            router = running(tmp_path, [server], form, settings=resumed)
+            program, ports = await stack.enter_async_context(router)
             idle, busy, late = (Client(front, ports[front], name) for name in "ibl")
             assert (await idle.ask())[0] == "served"
             await busy.send()
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -15,7 +15,7 @@
 import pytest
 
 from pearstall.interface import ReplicaList
-from pearstall.net.config import ConfigError, read_config
+from pearstall.net.config import ConfigError, Limits, read_config
 from pearstall.net.inventory import BadList, HostList, read_csv, read_host_list, read_yaml
 from pearstall.net.platform import number_of
 from tests.net_support import LOCAL, Client, ModelServer, Wire, free_port, running, setup, until
@@ -249,6 +249,18 @@
     assert "\n" not in str(raised.value) and str(raised.value)
 
 
+def test_a_key_that_is_null_counts_as_absent(tmp_path: Path) -> None:
+    """Another operator's settings may name what they don't use, with null for its value."""
+    nulls = {"limits": {"maxAttempts": None, "connIdle": None}, "charges": None, "accounts": None, "tick": None}
+    lane = {"name": "chat", "aim": 1, "hardLimit": 2, "window": None, "effect": None, "value": None}
+    path = config_file(tmp_path, name=None, limits=None, known=None, settings=setup(lanes=[lane], **nulls))
+    found = read_config({}, config=str(path))
+    absent: dict[str, Any] = {"limits": {}, "accounts": [], "tick": 1000}
+    lane = {"name": "chat", "aim": 1, "hardLimit": 2}
+    path = config_file(tmp_path, settings=setup(lanes=[lane], **absent))
+    assert found.settings == read_config({}, config=str(path)).settings and found.limits == Limits()
+
+
 def test_a_second_front_of_the_old_form_that_is_wrong_is_told(tmp_path: Path) -> None:
     given = str(config_file(tmp_path))
     assert read_config({}, config=given).openai_listen is None
