Answer what waits behind another request at the end, and read lists that are indented

Found by reading, each forced by a test that failed before (tests/test_crossings.py, test_lists.py): - client_link.py, _last and _next: after SIGTERM an answer ended its connection though a whole request lay behind it in the buffer: that request was dropped without an answer. It is served, or refused once the kill is near. - cluster.py, _read: a message over several lines was no list at its first line, so the watch failed each time; now lines are put together up to one that is not indented. Half a message followed by heartbeats fails the watch. A client that goes while its reading is paused and a request waits behind: both are forgotten (test only, was so).

--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -180,7 +180,7 @@
                     # The client's time runs from its sending, not from the end of the answer before.
                     self.came = self.ahead_since or self.owner.deadlines.clock.time()
                     if self.carried:  # the first one's time runs from the accept
-                        self._wait(READ_LIMIT, self.too_slow)
+                        self._wait(INVITE if self.owner.hurried else READ_LIMIT, self.too_slow)
                     self.owner.reading(self)
                 head = read_head(self.buffer)
                 if head is None:
@@ -327,7 +327,7 @@
 
     def _last(self) -> bool:
         """Whether the link ends after this answer. Before the program ends, clients are invited off."""
-        if self.owner.leaving:
+        if self.owner.leaving and not len(self.buffer):  # a request behind it is answered first
             self.keeps = False
         return not self.keeps
 
@@ -356,7 +356,7 @@
         self.holder = self.owner.core
         self._drop_parts()
         self.owner.rests(self)
-        if not self.keeps or self.owner.hurried:
+        if not self.keeps or (self.owner.hurried and not len(self.buffer)):
             self._linger()
             return
         self.buffer.rest()
--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -137,6 +137,7 @@
         self.address = address
         self.buffer = Buffer()
         self.lines = Buffer()
+        self.unfinished = b""  # the first lines of a message that is indented over several
         self.body: Body | None = None
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task[None] | None = None
@@ -198,18 +199,28 @@
             return False
         self.lines.add(data)
         while (end := self.lines.find(b"\n")) >= 0:
-            line = self.lines.take(end + 1).strip()
+            line = self.lines.take(end + 1)
             self._heard()
-            if not line:
-                continue
-            news = read_host_list(line)
-            if isinstance(news, BadList):
+            if not self._take_line(line):
                 return False  # what it said is lost: the next watch asks for it from the index held
-            self.cluster.take(news, ListKind.FULL if news.snapshot else ListKind.DELTA)
             if self.closed:
                 return True
         return len(self.lines) <= LARGEST_LINE and not self.body.done
 
+    def _take_line(self, line: bytes) -> bool:
+        """A message, or a part of one; False: neither."""
+        if not line.strip():
+            return not self.unfinished  # nothing comes between the lines of one message
+        self.unfinished += line
+        if line[:1].isspace():
+            return len(self.unfinished) <= LARGEST_LINE  # only a line without indentation ends a message
+        news = read_host_list(self.unfinished)
+        if isinstance(news, BadList):
+            return news.truncated and len(self.unfinished) <= LARGEST_LINE
+        self.unfinished = b""
+        self.cluster.take(news, ListKind.FULL if news.snapshot else ListKind.DELTA)
+        return True
+
     def _heard(self) -> None:
         if self.deadline is not None:
             self.deadline.cancel()
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -262,6 +262,48 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("hurried", [False, True])
+def test_a_request_behind_another_is_answered_though_the_program_ends(hurried: bool, tmp_path: Path) -> None:
+    """Its bytes had come before the client could know: the connection may not end without its answer."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            wire = await client.connect()
+            wire.writer.write(request(1) + request(2))
+            await until(lambda: any(query.passed for query in program.core.queries))
+            program.clients.leave()
+            if hurried:
+                program.core.hurry(True, program.loop.time() + 10.0)  # the stream under way runs on
+                program.clients.hurry()
+            server.go_on.set()
+            assert (await client.answer())[0] == "served"
+            kind, head, _ = await client.answer()
+            assert kind == ("refused" if hurried else "served") and not head.keeps
+
+    asyncio.run(scene())
+
+
+def test_a_client_that_goes_takes_its_requests_along_though_its_reading_is_paused(tmp_path: Path) -> None:
+    """One is held up on its way to the client, the other waits behind it."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "flood").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            end = socket.create_connection((LOCAL, ports["platform"]))
+            end.sendall(request(1) + request(2))
+            await until(lambda: any(link.full for link in program.clients.links))
+            end.close()
+            await until(lambda: not len(program.clients.links) and not server.open)
+            assert len(server.seen) == 1 and program.counters.clients_gone == 1
+            assert not len(program.core.queries) and not program.core.router.calls
+
+    asyncio.run(scene())
+
+
 def test_a_client_that_floods_and_reads_nothing_is_ended_with_its_request(tmp_path: Path) -> None:
     """Closed in the usual way, its connection would wait for it to read, and hold its model server meanwhile."""
 
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -145,6 +145,24 @@
     asyncio.run(scene())
 
 
+@pytest.mark.parametrize("cut", [False, True])
+def test_a_message_may_be_indented_over_lines_but_not_break_off(cut: bool, tmp_path: Path) -> None:
+    """Heartbeats behind half a message would keep a watch alive whose news is lost."""
+
+    async def scene() -> None:
+        indented = json.dumps(json.loads(message(GOOD, index=6)), indent=1).encode()
+        lines = [indented[:60], b"", b""] if cut else [indented, b""]
+        discovery = Discovery(lines, [message(GOOD, index=7)])
+        listener = await asyncio.start_server(discovery.link, LOCAL, 0)
+        port = listener.sockets[0].getsockname()[1]
+        async with running(tmp_path, [], discovery=port) as (program, _):
+            await until(lambda: program.cluster.index == (7 if cut else 6))
+            assert program.counters.list_failures == cut and len(discovery.asked) == 1 + cut
+        listener.close()
+
+    asyncio.run(scene())
+
+
 def test_a_watch_without_its_lines_is_dead(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("pearstall.net.cluster.SILENCE", 0.1)
 
