--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -10,6 +10,7 @@
 `by class`: what became of each class's tries, a row for each phase: before anything is replaced, from the first news
 of it (a server that drains, goes or has just started, a router that starts again) to the last, and after it. A try
 ends once: with a first token, refused (and why), failed, or its client gone; `never sent`: no server saw it.
+What `benchmarks/terms.py` counts comes last.
 
 `--follow` prints every line that any router has of one request by its `X-Txn`, and of its client's other tries: they
 ask for the same prompt of the same session under ids of their own.
@@ -30,6 +31,7 @@
 sys.path.insert(0, str(ROOT))
 
 from benchmarks.common import main  # noqa: E402
+from benchmarks.terms import Terms  # noqa: E402
 from pearstall.interface import ListKind, Result, State  # noqa: E402
 
 COLD = 21_000_000  # microseconds for which a server counts as cold
@@ -267,10 +269,11 @@
     events.sort(key=lambda one: one[0])
     if not events:
         raise SystemExit(f"{given.folder}: no traces")
-    fleet, classes = Fleet(), Classes(*phases(events))
+    fleet, classes, terms = Fleet(), Classes(*phases(events)), Terms()
     for at, who, row in events:
         fleet.tell((at - events[0][0]) // 1_000_000, who, row)
         classes.tell(at, who, row)
+        terms.tell(at, who, row)
     table = [
         {"s": s} | {name: now[name] for name in COLUMNS} | {
             "p50": round(median(fleet.first[s] or [0]), 2), "p90": round(part(fleet.first[s], 0.9), 2),
@@ -295,6 +298,7 @@
         "ejections by the failure before": dict(fleet.ejections),
         "start, CPU seconds": round(mean(fleet.starts), 3),
         "CPU a request with its answer, ms": round(1e3 * (sum(fleet.cpu.values()) - sum(fleet.starts)) / asked, 2),
+        **terms.found(),
     }  # fmt: skip
 
 
--- a/pearstall/net/trace.py
+++ b/pearstall/net/trace.py
@@ -29,7 +29,7 @@
         self.size = 0
         self.encode = msgspec.json.Encoder().encode
         self.add(["start", self._now(), name, time.process_time(), classes])
-        deadlines.after(HELD, self._due)
+        self._wait()
 
     def _now(self) -> int:
         return int(self.deadlines.clock.time() * 1e6) + self.offset
@@ -59,10 +59,15 @@
         if self.size > BLOCK:
             self.flush()
 
+    def _wait(self) -> None:
+        self.due = self.deadlines.clock.time() + HELD
+        self.deadlines.at(self.due, self._due)
+
     def _due(self) -> None:
-        self.add(["cpu", self._now(), time.process_time()])
+        late = self.deadlines.clock.time() - self.due  # so long the loop was held up by something else
+        self.add(["cpu", self._now(), time.process_time(), round(late, 6)])
         self.flush()
-        self.deadlines.after(HELD, self._due)
+        self._wait()
 
     def flush(self) -> None:
         if self.lines:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -13,6 +13,7 @@
 import pytest
 
 from benchmarks.fleet import Classes, follow, phases
+from benchmarks.terms import Terms
 from pearstall.choice import Router, _Call
 from pearstall.interface import ListKind, ReplicaList, Request, Result, Send, SetTimer, State, Subscribe, Timer
 from tests.support import AIM, MS, START, Gateway, S, entry, of, refused, settings
@@ -499,3 +500,30 @@
         count = sum(one == replica and end - 2 * S < at <= end for one, at in sent)
         budget = 58.0 / 12 * 2.0 * 2.0 * (0.12 + 0.88 * (end - START + S) / (21 * S))
         assert count <= budget + 2 * budget**0.5 + 2
+
+
+def asked(id: int, session: int, tokens: float, *actions: Any) -> list[Any]:
+    event = {"id": id, "class_index": 0, "session": session, "prompt_tokens": tokens}
+    return ["Request", 0, event, [list(action) for action in actions]]
+
+
+def test_the_terms_of_acceptance_are_counted_over_traces() -> None:
+    terms, send, refuse = Terms(), "Send", "Refuse"
+    terms.tell(0, 0, ["start", 0, "n0", 0.1, ["chat"]])
+    for id in range(20):  # the longer half of the prompts is refused; one session gets nothing
+        end = send if id < 10 else refuse
+        terms.tell(0, 0, asked(id, 1 + id // 10, 100.0 * id, (end, {"request": id, "replica": 1})))
+        if id < 10:
+            terms.tell(1, 0, ["FirstToken", 1, {"request": id, "attempt": 0}, []])
+    terms.tell(0, 0, asked(20, 3, 100.0))
+    terms.tell(10, 0, ["ClientGone", 10, {"request": 20}, []])
+    terms.tell(400_000, 0, ["Timer", 400_000, {"tag": 20}, [[send, {"request": 20, "replica": 1}]]])
+    for id in range(30, 46):
+        terms.tell(id * 300_000, 1, asked(id, 0, 1.0, (refuse, {"request": id})))
+    terms.tell(0, 1, ["cpu", 0, 1.0, 0.25])
+    found = terms.found()
+    assert found["clients that left"] == {"before an attempt": 0, "sent on all the same": 1}
+    assert found["turning all away"] == "1 of 2" and found["loop held up, ms"] == 250.0
+    assert found["sessions refused throughout"]["chat"] == {"sessions": 3, "share": 0.333, "by chance": 0.159}
+    lengths = found["by prompt length"]["chat"]
+    assert lengths["answered"][-1] == 0.0 and lengths["the longest against all"] == 0.0
