--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -212,7 +212,11 @@
             self.owner.core.passed(self.execution, events)
 
     def _stream_end(self) -> None:
-        if rest := self.splitter.rest:
+        rest = self.splitter.rest
+        if rest and self.body is not None and self.body.until_close and not rest.rstrip().endswith(b"[DONE]"):
+            self.fail("the link ended within an event")  # passed on, half of it would be an event of its own
+            return
+        if rest:
             if not LINES.fullmatch(rest + b"\n"):
                 self.fail("an event that is none")
                 return
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,13 +22,15 @@
 from pearstall.models.client import Transport
 from pearstall.net import serve, server_link
 from pearstall.net.client_link import LINGER, MOST_AHEAD, ClientLink, ClientLinks
-from pearstall.net.config import Named, Names
+from pearstall.net.config import Named, Names, read_config
 from pearstall.net.core import Carrier, Execution
 from pearstall.net.inventory import Host, HostList
 from pearstall.net.platform import PlatformFront, number_of
+from pearstall.net.serve import Program
 from tests.net_support import LOCAL, PATH, Client, ModelServer, free_port, running, setup, stream, until
 from tests.support import MS, Gateway, S, of, settings
 from tests.test_core import Scene
+from tests.test_lists import GOOD, Discovery, message
 
 ROOT = Path(__file__).parent.parent
 
@@ -239,6 +241,38 @@
     assert len(repeats) == (after < 0.65)
 
 
+def test_a_kept_connection_that_its_server_closes_as_it_is_taken_is_not_written_to(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its end waits in the socket while the loop has not read it: the request would end as a reset."""
+    monkeypatch.setattr(server_link, "REST_BEFORE_REUSE", -1.0)
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            assert (await client.ask())[0] == "served"
+            ((link,),) = program.servers.idle.values()
+            (writer,) = server.open
+            writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
+            assert program.servers._take_idle(link.address) is None and link.closed  # in the same turn of the loop
+            assert (await client.ask())[0] == "served" and program.counters.outcomes == {"ok": 2}
+
+    asyncio.run(scene())
+
+
+def test_half_an_event_at_a_connections_end_is_not_passed_on(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "half an event").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            kind, _, body = await Client("platform", ports["platform"]).ask()
+            assert (kind, body) == ("cut", b"data: x\n\n") and program.counters.broken == 1
+
+    asyncio.run(scene())
+
+
 # -- downstream connections --------------------------------------------------------------------------------
 
 
@@ -377,6 +411,99 @@
     asyncio.run(scene())
 
 
+def test_a_request_that_waits_for_a_server_is_forgotten_with_its_client(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, []))
+            client = Client("platform", ports["platform"])
+            await client.send()
+            await until(lambda: len(program.core.router.held) == 1)
+            client.close()
+            await until(lambda: not program.core.router.held and not len(program.core.queries))
+            program.cluster.take(HostList([Host("s0", f"{LOCAL}:{server.port}", "a", "m1")], 5), ListKind.FULL)
+            assert (await Client("platform", ports["platform"], "n").ask())[0] == "served"
+            assert len(server.seen) == 1 and program.counters.clients_gone == 1
+
+    asyncio.run(scene())
+
+
+# -- signals, and what is read again -----------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("half", ["", '{"listen": "127.0', "[]", '{"settings": 3}', '{"limits": {"sockets": "x"}}'])
+def test_a_configuration_that_is_half_written_changes_nothing(half: str, tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            await client.send()
+            await until(lambda: any(query.passed for query in program.core.queries))
+            held = program.config
+            (tmp_path / "config.json").write_text(half)
+            program.reload()
+            (tmp_path / "config.json").unlink()
+            program.reload()
+            assert program.config is held and program.counters.reload_failures == 2
+            server.go_on.set()
+            assert (await client.answer())[0] == "served" and (await client.ask())[0] == "served"
+
+    asyncio.run(scene())
+
+
+def test_a_program_asked_twice_to_end_answers_what_it_took_and_ends_once(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
+            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
+            client = Client("platform", ports["platform"])
+            await client.send()
+            await until(lambda: any(query.passed for query in program.core.queries))
+            program.leave()
+            first = program.leaving_from
+            program.reload()
+            program.leave()
+            assert program.leaving_from == first and not program.ended.is_set()
+            server.go_on.set()
+            assert (await client.answer())[0] == "served"
+            client.close()
+            await until(program.ended.is_set)
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("silent", [False, True])
+def test_a_watch_that_ends_or_is_silent_right_after_a_reload_is_opened_anew(
+    silent: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The whole list is asked for again, as versions of the new discovery may be counted anew."""
+    monkeypatch.setattr("pearstall.net.cluster.SILENCE", 0.1)
+
+    async def scene() -> None:
+        old = Discovery([message(GOOD, index=6), b"wait", b"end"])
+        new = Discovery([] if silent else [b"end"], [message(GOOD, index=2), b"wait", b"end"])
+        listeners = [await asyncio.start_server(one.link, LOCAL, 0) for one in (old, new)]
+        places = [f"{LOCAL}:{one.sockets[0].getsockname()[1]}" for one in listeners]
+        config = {"listen": f"{LOCAL}:{free_port()}", "seed": "7", "settings": setup()}
+        (tmp_path / "config.json").write_text(json.dumps(config | {"discovery": places[0]}))
+        program = Program(read_config({}, config=str(tmp_path / "config.json")))
+        await program.start()
+        await until(lambda: program.cluster.index == 6)
+        (tmp_path / "config.json").write_text(json.dumps(config | {"discovery": places[1]}))
+        program.reload()
+        await until(lambda: program.cluster.index == 2)
+        assert new.asked[:2] == ["/catalog/members?stream=1"] * 2
+        assert number_of("s1") in program.cluster.addresses
+        for one in (old, new):
+            one.more.set()
+        await program.close()
+        for listener in listeners:
+            listener.close()
+
+    asyncio.run(scene())
+
+
 # -- what a request brings along ---------------------------------------------------------------------------
 
 
