Ask an agent of the router's own at once, where lists are pushed

Cause: first calls were spread over up to 4 s at over eight gateways (choice.py, start and _ask_later), as for one service that all ask. With membershipMode "automatic" each has an agent of its own, whose list counts as told from the first moment: it is asked at once, and again 50 to 250 ms after a watch is lost. Sites that are asked: unchanged. Ruled out: connections under way (all sends came within 2.1 s of the start). Test in tests/test_fleet.py.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -130,6 +130,8 @@
 ASK_LOST = 5 / 12  # when watches end; to notice that one has fallen silent takes as long
 ASK_AGAIN = 3 / 4  # and while calls fail, however long: one falls into this time whenever discovery comes back
 ASK_JITTER = 0.05
+ASK_AGENT = 50_000  # where each gateway has an agent of its own, a lost watch is opened anew after this
+ASK_AGENT_MOST = 250_000  # doubled while that fails, up to this
 SUBSCRIBE_TAG = 1 << 60  # timer tags below this are request ids
 
 
@@ -333,7 +335,7 @@
         self.actions = []
         self.next_sweep = now + self.interval
         if self.settings.subscribe:
-            if self.settings.gateways <= ASK_TOGETHER:
+            if self.settings.gateways <= ASK_TOGETHER or self.settings.pushed:
                 self._subscribe()
             else:
                 self._ask_later(ASK_START)
@@ -1243,6 +1245,9 @@
         """First over a short time, for the sake of what has changed; then over one in which all can be served.
         Gateways that begin or lose their watches as one ask one after the other, each at the place of its number: a
         call that waits too long is served for nothing, and where too many meet by chance all do, for good."""
+        if self.settings.pushed:  # nobody else waits for it, and what it has counts as told at once
+            self._ask_in(min(ASK_AGENT_MOST, ASK_AGENT << min(self.asked, 9)))
+            return
         span, number = self._ask_span(self.asked, first), self.settings.gateway
         delay = self.random() * span
         if number >= 0:
--- a/pearstall/interface.py
+++ b/pearstall/interface.py
@@ -86,6 +86,7 @@
     second_copies: bool = False  # two attempts of one request may be out at once
     may_cancel: bool = False
     subscribe: bool = False  # list changes come only after Subscribe
+    pushed: bool = False  # to an agent of the gateway's own, which is asked: what that one has counts as told
     must_ask_in: int = 10_000_000
     connect_timeout: int = 250_000  # a connect that has not come up by then has failed
     max_retry_after: int = 0  # 0: clients take no advice
--- a/pearstall/settings.py
+++ b/pearstall/settings.py
@@ -60,6 +60,7 @@
     values = _renamed(TOP_KEYS, raw) | _renamed(LIMIT_KEYS, limits) | _renamed(RULE_KEYS, rules)
     values["zones"] = max(1, len(_rows(raw, "dcs")))
     values["subscribe"] = raw.get("membershipMode") == "subscribe"
+    values["pushed"] = raw.get("membershipMode") == "automatic"
     if limits.get("retryAfter"):
         values["max_retry_after"] = limits.get("maxRetryAfter", 0)
     values["cross_zone_price"] = _section(raw, "charges").get("crossZone", 0.0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -16,6 +16,7 @@
 from benchmarks.terms import Terms
 from pearstall.choice import Router, _Call
 from pearstall.interface import ListKind, ReplicaList, Request, Result, Send, SetTimer, State, Subscribe, Timer
+from pearstall.settings import settings_from_wire
 from tests.support import AIM, MS, START, Gateway, S, entry, of, refused, settings
 
 GATEWAYS = 40
@@ -467,6 +468,24 @@
         assert all(timer.delay < 4.5 * S for timer in of(SetTimer, router.start(0)) if gateways > 1)
 
 
+def test_an_agent_of_the_gateways_own_is_asked_at_once_and_again_without_delay() -> None:
+    """Spread over the fleet as calls to one service for all are, the first one came after up to 4 s, and what the
+    agent had counted as told from the first moment: requests went to servers that drained."""
+    rules = settings(**FLEET | {"gateways": 200, "gateway": 199, "pushed": True})
+    router = Router(rules, 1)
+    assert of(Subscribe, router.start(0))
+    router.handle(0, ReplicaList(ListKind.DELTA))
+    now = S
+    for _ in range(20):  # the agent is away
+        (timer,) = of(SetTimer, router.handle(now, ReplicaList(ListKind.FAILED)))
+        assert timer.delay <= 250 * MS
+        now += timer.delay
+        assert of(Subscribe, router.handle(now, Timer(timer.tag)))
+    assert now > 4 * S  # but not more often than it has to be
+    wire = json.dumps({"lanes": [{"aim": 1, "hardLimit": 2}], "membershipMode": "automatic"}).encode()
+    assert settings_from_wire(wire).pushed and not settings_from_wire(wire.replace(b"automatic", b"subscribe")).pushed
+
+
 @pytest.mark.parametrize("gateways", [4, 20, 32, 200])
 def test_the_parts_of_a_cold_budget_add_up_over_the_fleet(gateways: int) -> None:
     """Each of many gateways had one request ready for each cold replica: when the warm ones were lost, 32 of them
