--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -13,7 +13,8 @@
 import subprocess
 import sys
 import time
-from contextlib import AsyncExitStack
+from collections.abc import AsyncIterator
+from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 
 import pytest
@@ -40,6 +41,18 @@
     return f"{head}Content-Length: 2\r\n\r\n{{}}".encode()
 
 
+@asynccontextmanager
+async def routed(folder: Path, *script: str) -> AsyncIterator[tuple[ModelServer, Program, int]]:
+    """A model server that plays this script, a router before it, and the port of its front."""
+    async with ModelServer("platform", *script).listening() as server, running(folder, [server]) as (program, ports):
+        yield server, program, ports["platform"]
+
+
+async def streaming(program: Program) -> None:
+    """Until a first event was passed on."""
+    await until(lambda: any(query.passed for query in program.core.queries))
+
+
 def no_delay(transport: asyncio.BaseTransport | None) -> bool:
     assert transport is not None
     end: socket.socket = transport.get_extra_info("socket")
@@ -50,12 +63,10 @@
     """Without TCP_NODELAY the kernel keeps an event until the one before is acknowledged; a reset takes it along."""
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            client = Client("platform", ports["platform"])
+        async with routed(tmp_path, "wait") as (server, program, port):
+            client = Client("platform", port)
             await client.send()
-            await until(lambda: any(query.passed for query in program.core.queries))
+            await streaming(program)
             (downstream,) = program.clients.links
             (upstream,) = program.servers.links
             assert no_delay(downstream.transport) and no_delay(upstream.transport)
@@ -133,12 +144,10 @@
     monkeypatch.setattr(serve, "LATE", 0.0)
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            first, second = (Client("platform", ports["platform"], name) for name in "ab")
+        async with routed(tmp_path, "wait") as (server, program, port):
+            first, second = (Client("platform", port, name) for name in "ab")
             await first.send()
-            await until(lambda: any(query.passed for query in program.core.queries))
+            await streaming(program)
             program.leave()
             await until(lambda: not program.core.taking)
             kind, head, _ = await second.ask()
@@ -159,10 +168,8 @@
     monkeypatch.setattr(server_link, "REST_BEFORE_REUSE", 60.0)
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "serve", "late second").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            client = Client("platform", ports["platform"])
+        async with routed(tmp_path, "serve", "late second") as (server, program, port):
+            client = Client("platform", port)
             for _ in range(2):
                 kind, _, body = await client.ask()
                 assert (kind, body) == ("served", b"".join(stream("platform")))
@@ -175,10 +182,8 @@
     """The latest used one of those: what the others have is left to close."""
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            clients = [Client("platform", ports["platform"], name) for name in "abc"]
+        async with routed(tmp_path) as (server, program, port):
+            clients = [Client("platform", port, name) for name in "abc"]
             await asyncio.gather(*(client.ask() for client in clients))
             (links,) = program.servers.idle.values()
             first, second, third = links
@@ -248,10 +253,8 @@
     monkeypatch.setattr(server_link, "REST_BEFORE_REUSE", -1.0)
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            client = Client("platform", ports["platform"])
+        async with routed(tmp_path) as (server, program, port):
+            client = Client("platform", port)
             assert (await client.ask())[0] == "served"
             ((link,),) = program.servers.idle.values()
             (writer,) = server.open
@@ -264,10 +267,8 @@
 
 def test_half_an_event_at_a_connections_end_is_not_passed_on(tmp_path: Path) -> None:
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "half an event").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            kind, _, body = await Client("platform", ports["platform"]).ask()
+        async with routed(tmp_path, "half an event") as (server, program, port):
+            kind, _, body = await Client("platform", port).ask()
             assert (kind, body) == ("cut", b"data: x\n\n") and program.counters.broken == 1
 
     asyncio.run(scene())
@@ -280,12 +281,10 @@
     """Counted from the end of the answer before, its deadline would come too late by that whole answer."""
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "wait", "silent").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            wire = await Client("platform", ports["platform"]).connect()
+        async with routed(tmp_path, "wait", "silent") as (server, program, port):
+            wire = await Client("platform", port).connect()
             wire.writer.write(request(1) + request(2))
-            await until(lambda: any(query.passed for query in program.core.queries))
+            await streaming(program)
             sent_by = program.loop.time()
             server.go_on.set()
             await until(lambda: len(server.seen) == 2)
@@ -301,13 +300,11 @@
     """Its bytes had come before the client could know: the connection may not end without its answer."""
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            client = Client("platform", ports["platform"])
+        async with routed(tmp_path, "wait") as (server, program, port):
+            client = Client("platform", port)
             wire = await client.connect()
             wire.writer.write(request(1) + request(2))
-            await until(lambda: any(query.passed for query in program.core.queries))
+            await streaming(program)
             program.clients.leave()
             if hurried:
                 program.core.hurry(True, program.loop.time() + 10.0)  # the stream under way runs on
@@ -324,10 +321,8 @@
     """One is held up on its way to the client, the other waits behind it."""
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "flood").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            end = socket.create_connection((LOCAL, ports["platform"]))
+        async with routed(tmp_path, "flood") as (server, program, port):
+            end = socket.create_connection((LOCAL, port))
             end.sendall(request(1) + request(2))
             await until(lambda: any(link.full for link in program.clients.links))
             end.close()
@@ -342,10 +337,8 @@
     """Closed in the usual way, its connection would wait for it to read, and hold its model server meanwhile."""
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "flood").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            end = socket.create_connection((LOCAL, ports["platform"]))
+        async with routed(tmp_path, "flood") as (server, program, port):
+            end = socket.create_connection((LOCAL, port))
             end.sendall(request(1))
             await until(lambda: any(link.full for link in program.clients.links))
             end.setblocking(False)
@@ -434,12 +427,10 @@
 @pytest.mark.parametrize("half", ["", '{"listen": "127.0', "[]", '{"settings": 3}', '{"limits": {"sockets": "x"}}'])
 def test_a_configuration_that_is_half_written_changes_nothing(half: str, tmp_path: Path) -> None:
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            client = Client("platform", ports["platform"])
+        async with routed(tmp_path, "wait") as (server, program, port):
+            client = Client("platform", port)
             await client.send()
-            await until(lambda: any(query.passed for query in program.core.queries))
+            await streaming(program)
             held = program.config
             (tmp_path / "config.json").write_text(half)
             program.reload()
@@ -454,12 +445,10 @@
 
 def test_a_program_asked_twice_to_end_answers_what_it_took_and_ends_once(tmp_path: Path) -> None:
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "wait").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            client = Client("platform", ports["platform"])
+        async with routed(tmp_path, "wait") as (server, program, port):
+            client = Client("platform", port)
             await client.send()
-            await until(lambda: any(query.passed for query in program.core.queries))
+            await streaming(program)
             program.leave()
             first = program.leaving_from
             program.reload()
@@ -511,10 +500,8 @@
     """A class that may be repeated within a window has a key by which model servers know a repeat."""
 
     async def scene() -> None:
-        async with AsyncExitStack() as stack:
-            server = await stack.enter_async_context(ModelServer("platform", "error").listening())
-            program, ports = await stack.enter_async_context(running(tmp_path, [server]))
-            client = Client("platform", ports["platform"])
+        async with routed(tmp_path, "error") as (server, program, port):
+            client = Client("platform", port)
             wire = await client.connect()
             extra = b"Idempotency-Key: k-1\r\nTraceparent: 00-1\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\n"
             wire.writer.write(request(1).replace(b"X-Txn", extra + b"X-Txn", 1))
