--- a/tests/net_support.py
+++ b/tests/net_support.py
@@ -218,6 +218,8 @@
             mark = "X-Turned-Away: 1\r\n" if what == "away" and self.form == "platform" else ""
             writer.write(f"HTTP/1.1 {status}\r\n{mark}Content-Length: 0\r\n\r\n".encode())
             return True
+        if what == "hold":
+            await self.go_on.wait()
         if what == "half an event":  # its connection's end is the only end that this answer has
             opening = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n"
             writer.write(opening + b"data: x\n\ndata: {")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -295,16 +295,18 @@
     asyncio.run(scene())
 
 
-@pytest.mark.parametrize("hurried", [False, True])
-def test_a_request_behind_another_is_answered_though_the_program_ends(hurried: bool, tmp_path: Path) -> None:
+@pytest.mark.parametrize(("begun", "hurried"), [(False, False), (True, False), (True, True)])
+def test_a_request_behind_another_is_answered_though_the_program_ends(
+    begun: bool, hurried: bool, tmp_path: Path
+) -> None:
     """Its bytes had come before the client could know: the connection may not end without its answer."""
 
     async def scene() -> None:
-        async with routed(tmp_path, "wait") as (server, program, port):
+        async with routed(tmp_path, "wait" if begun else "hold") as (server, program, port):
             client = Client("platform", port)
             wire = await client.connect()
             wire.writer.write(request(1) + request(2))
-            await streaming(program)
+            await (streaming(program) if begun else until(lambda: len(server.seen) == 1))
             program.clients.leave()
             if hurried:
                 program.core.hurry(True, program.loop.time() + 10.0)  # the stream under way runs on
