--- a/tests/net_support.py
+++ b/tests/net_support.py
@@ -166,6 +166,7 @@
         self.out = self.most_out = self.links = 0
         self.port = 0
         self.go_on = asyncio.Event()
+        self.seen_event = asyncio.Semaphore(0)  # its client has an event
         self.open: set[asyncio.StreamWriter] = set()
 
     @asynccontextmanager
@@ -246,6 +247,8 @@
                 return False
             if what == "wait" and number == 0:
                 await self.go_on.wait()
+            if what == "one by one":
+                await self.seen_event.acquire()
         writer.write(b"0\r\n\r\n")
         if what == "second":
             writer.write(HEAD + b"9\r\ndata: z\n\n\r\n0\r\n\r\n")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,12 +22,14 @@
 from pearstall.interface import ListKind, Result, Send
 from pearstall.models.client import Transport
 from pearstall.net import serve, server_link
+from pearstall.net.buffer import KEPT
 from pearstall.net.client_link import LINGER, MOST_AHEAD, ClientLink, ClientLinks
 from pearstall.net.config import Named, Names, read_config
 from pearstall.net.core import Carrier, Execution
 from pearstall.net.inventory import Host, HostList
 from pearstall.net.platform import PlatformFront, number_of
 from pearstall.net.serve import Program
+from pearstall.net.server_link import ServerLink
 from tests.net_support import LOCAL, PATH, Client, ModelServer, free_port, running, setup, stream, until
 from tests.support import MS, Gateway, S, of, settings
 from tests.test_core import Scene
@@ -76,6 +78,42 @@
     asyncio.run(scene())
 
 
+def test_each_event_goes_on_before_the_next_one_comes(tmp_path: Path) -> None:
+    """Its server makes the next one only once the client has it: were events gathered, none would come."""
+
+    async def scene() -> None:
+        async with routed(tmp_path, "one by one") as (server, _, port):
+            client = Client("platform", port)
+            await client.send()
+            wire = await client.connect()
+            assert await wire.head(True) is not None
+            for event in stream("platform"):
+                while event not in wire.buffer.peek(len(wire.buffer)):
+                    assert await wire.more()
+                server.seen_event.release()
+
+    asyncio.run(scene())
+
+
+def test_one_busy_connection_is_read_a_part_at_a_time(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """Others' events wait for one such part at most."""
+    sizes = []
+    take = ServerLink.buffer_updated
+
+    def noted(self: ServerLink, nbytes: int) -> None:
+        sizes.append(nbytes)
+        take(self, nbytes)
+
+    monkeypatch.setattr(ServerLink, "buffer_updated", noted)
+
+    async def scene() -> None:
+        async with routed(tmp_path, "flood") as (_, _, port):
+            assert (await Client("platform", port).ask())[0] == "served"
+
+    asyncio.run(scene())
+    assert sum(sizes) > 20_000_000 and max(sizes) <= 2 * KEPT
+
+
 # -- the start ---------------------------------------------------------------------------------------------
 
 
