--- a/benchmarks/site_variants.py
+++ b/benchmarks/site_variants.py
@@ -1,9 +1,9 @@
-"""Two variants of a site for the operators' bench, so that nothing in the router fits one deployment only.
+"""Variants of a site for the operators' bench, so that nothing in the router fits one deployment only.
 
     python benchmarks/site_variants.py [SITE.toml] [--output FOLDER]
 
-Reads the site file and writes `many-classes.toml` and `one-class.toml`, with copies of the files that the bench wants
-beside a site. They differ from the site and from each other in the names and number of classes, in effects, shares,
+Reads the site file and writes `many-classes.toml`, `one-class.toml` and `pushed-lists.toml`, with copies of the files
+that the bench wants beside a site. They differ from the site and from each other in the names and number of classes, in effects, shares,
 limits, deadlines, costs, the window for repeats and the drain grace. What is written stays out of the repository.
 """
 
@@ -96,6 +96,28 @@
     return variant
 
 
+def pushed_lists(site: Table) -> Table:
+    """Lists come by an agent of each router's own; repeats within a zone or a cell only; long connects, no grace."""
+    variant = copy.deepcopy(site)
+    variant["name"] = "pushed-lists"
+    long_prompts, short_prompts = site["fam"]["class"][:2]
+    variant["class"] = [
+        request_class("pay", 0.3, 500, 900, 3, "unsafe"),
+        request_class("search", 0.4, 1200, 4000, 2, "keyed", group="zone", window_ms=900),
+        request_class("draft", 0.3, 2000, 7000, 1, "keyed", group="cell", window_ms=3000),
+    ]
+    variant["fam"]["class"] = [short_prompts | {"turns": [1.1, 1.5]}, short_prompts, long_prompts]
+    variant["fam"]["resume"] = False
+    variant["discovery"] = site["discovery"] | {"mode": "push"}
+    variant["allow"] = site["allow"] | {"second_copies": True, "max_attempts": 4}
+    variant["tenant"] = [{"name": "all", "share": 1.0, "usage": [0.5, 1.2]}]
+    variant["rules"] = site["rules"] | {"drain_grace_ms": 150}
+    variant["prices"] = site["prices"] | {"waste": 0.3}
+    for tier in variant["tier"]:
+        tier["conn"] |= {"idle_s": 4, "connect_timeout_ms": 600}
+    return variant
+
+
 def dump(table: Table, path: str = "") -> Iterator[str]:
     """TOML of plain values, tables and lists of tables, which is all that sites have."""
     tables = {key: value for key, value in table.items() if isinstance(value, dict)}
@@ -135,7 +157,7 @@
     for name in BESIDE:
         shutil.copyfile(source.parent / name, output / name)
     written = []
-    for variant in (many_classes(site), one_class(site)):
+    for variant in (many_classes(site), one_class(site), pushed_lists(site)):
         target = output / f"{variant['name']}.toml"
         target.write_text("\n".join(dump(variant)) + "\n")
         written.append(target)
--- a/pearstall/net/inventory.py
+++ b/pearstall/net/inventory.py
@@ -60,6 +60,9 @@
             out.skipped += 1
             continue
         _add(out, host, not message.snapshot)
+    latest = {host.name: host for host in out.hosts}  # of entries under one name the last counts
+    out.skipped += len(out.hosts) - len(latest)
+    out.hosts = list(latest.values())
     return out
 
 
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -145,6 +145,12 @@
     asyncio.run(scene())
 
 
+def test_of_entries_under_one_name_the_last_counts() -> None:
+    found = read_host_list(message(GOOD, {**GOOD, "name": "s2"}, {**GOOD, "status": "draining"}))
+    assert isinstance(found, HostList) and found.skipped == 1
+    assert {host.name: host.status for host in found.hosts} == {"s1": "draining", "s2": "ready"}
+
+
 @pytest.mark.parametrize("cut", [False, True])
 def test_a_message_may_be_indented_over_lines_but_not_break_off(cut: bool, tmp_path: Path) -> None:
     """Heartbeats behind half a message would keep a watch alive whose news is lost."""
--- a/tests/test_site_variants.py
+++ b/tests/test_site_variants.py
@@ -17,11 +17,12 @@
     "net": {"zones": ["a", "b", "c"], "jitter": 0.1},
     "clients": {"marks_retry": True, "backoff": ["none"], "retries": [1, 2]},
     "allow": {"max_attempts": 3, "cancel": True},
+    "discovery": {"mode": "ask"},
     "rules": {"drain_grace_ms": 500, "fall_ms": 2000},
     "prices": {"waste": 0.1},
     "tier": [{"name": "t", "conn": {"idle_s": 30, "connect_timeout_ms": 250}, "kind": [{"name": "k"}]}],
     "class": [{"name": "x", "effect": "safe", "deadline_ms": 5000}, {"name": "y", "effect": "safe"}],
-    "tenant": [{"name": "one", "share": 1.0}],
+    "tenant": [{"name": "one", "share": 0.9}],
     "fam": {"resume": True, "class": [PROMPTS, PROMPTS | {"token_ms": 40}]},
 }
 
@@ -52,7 +53,7 @@
     for site in sites[1:]:
         assert len(site["fam"]["class"]) == len(site["class"])
     windows = [row["window_ms"] for site in sites[1:] for row in site["class"] if "window_ms" in row]
-    assert len(set(windows)) == 2
+    assert len(set(windows)) == len(windows) == 4
 
 
 def test_a_missing_kit_is_one_line(
