--- a/benchmarks/site_variants.py
+++ b/benchmarks/site_variants.py
@@ -3,8 +3,9 @@
     python benchmarks/site_variants.py [SITE.toml] [--output FOLDER]
 
 Reads the site file and writes `many-classes.toml`, `one-class.toml` and `pushed-lists.toml`, with copies of the files
-that the bench wants beside a site. They differ from the site and from each other in the names and number of classes, in effects, shares,
-limits, deadlines, costs, the window for repeats and the drain grace. What is written stays out of the repository.
+that the bench wants beside a site. They differ from the site and from each other in the names and number of classes,
+in effects, shares, limits, deadlines, costs, the window for repeats and the drain grace. What is written stays out of
+the repository.
 """
 
 from __future__ import annotations
