--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -169,7 +169,7 @@
     """A key whose value is null counts as absent."""
     parts = _decode(text, dict[str, msgspec.Raw], "configuration")
     known = parts.pop("known", msgspec.Raw(b"null"))
-    whole = without_nulls({key: msgspec.json.decode(part) for key, part in parts.items()})
+    whole = without_nulls({key: _decode(bytes(part), object, key) for key, part in parts.items()})
     raw = _decode(msgspec.json.encode(whole), Raw, "configuration")
     raw.known = known
     return raw
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -464,7 +464,10 @@
 # -- signals, and what is read again -----------------------------------------------------------------------
 
 
-@pytest.mark.parametrize("half", ["", '{"listen": "127.0', "[]", '{"settings": 3}', '{"limits": {"sockets": "x"}}'])
+HALF = ["", '{"listen": "127.0', "[]", '{"settings": 3}', '{"limits": {"sockets": "x"}}', '{"name": "\\ud800"}']
+
+
+@pytest.mark.parametrize("half", HALF)
 def test_a_configuration_that_is_half_written_changes_nothing(half: str, tmp_path: Path) -> None:
     async def scene() -> None:
         async with routed(tmp_path, "wait") as (server, program, port):
