--- a/tests/test_classes.py
+++ b/tests/test_classes.py
@@ -146,3 +146,44 @@
     assert not gateway.router.calls
     gateway.tell_list(ListKind.DELTA, entry(99))
     gateway.serve()
+
+
+@pytest.mark.parametrize("busy", [False, True])
+def test_the_longest_prompts_are_sent_on_with_the_others(busy: bool) -> None:
+    """Two thirds of their class's share on a quiet day, half on others: over tenths of the length."""
+    gateway = Gateway(settings({"aim": 2 * S, "give_up": 6 * S, "token_aim": 50 * MS}, **FLEET), 40, seed=4)
+    random, asked = Random(4), list[tuple[float, bool]]()
+    for number in range(600):
+        tokens = random.lognormvariate(7.0, 1.2)
+        id, actions = gateway.request(prompt_tokens=tokens, session=number + 1, deadline=gateway.now + 6 * S)
+        asked.append((tokens, not refused(actions)))
+        if not refused(actions):
+            steps = 400 * MS if busy else 40 * MS  # eight token aims tell of an overload
+            gateway.first_token(id, int(steps + tokens * 50))
+            gateway.outcome(id, Result.OK)
+        gateway.wait(100 * MS)
+    sent = [went for _, went in sorted(asked)]
+    longest, whole = sum(sent[-60:]) / 60, sum(sent) / 600
+    assert whole > 0.9 or busy and 0.2 < whole < 0.9
+    assert longest >= whole * (1 / 2 if busy else 2 / 3)
+
+
+def test_no_session_is_refused_throughout_while_there_is_room() -> None:
+    """The replica that keeps its prompts takes nothing more: its turns go elsewhere."""
+    gateway = Gateway(settings({"aim": 2 * S, "give_up": 6 * S}, **FLEET), 8, seed=5)
+    refusals: dict[int, list[bool]] = {session: [] for session in range(1, 41)}
+    for turn in range(5):
+        for session, its in refusals.items():
+            for full in (2, 5):
+                gateway.router.replicas[full].streams = 99
+            id, actions = gateway.request(
+                session=session, prompt_tokens=800.0 + 300.0 * turn, prefix=1 + session % 3, prefix_tokens=600.0
+            )
+            its.append(refused(actions))
+            if not refused(actions):
+                assert gateway.sent(id) not in (2, 5)
+                gateway.first_token(id, 80 * MS)
+                gateway.outcome(id, Result.OK)
+            gateway.wait(50 * MS)
+    assert not any(all(its) for its in refusals.values())
+    assert sum(map(sum, refusals.values())) < 0.05 * 200
