--- a/pearstall/interface.py
+++ b/pearstall/interface.py
@@ -117,7 +117,7 @@
 
 
 AT_LEAST_ONE = {"give_up", "zones", "gateways", "tick", "max_attempts", "must_ask_in", "tip_time"}
-ABOVE_NOUGHT = {"cold_share", "tip_multiple"}
+ABOVE_ZERO = {"cold_share", "tip_multiple"}
 
 
 def _read(kind: type, raw: Any, path: str) -> dict[str, Any]:
@@ -154,7 +154,7 @@
     if key == "aim" and value == 0 and not isinstance(value, bool):
         value = 1  # what is wanted at once
     number = _number(path, value, low)
-    if key in ABOVE_NOUGHT and number <= 0:
+    if key in ABOVE_ZERO and number <= 0:
         raise ValueError(f"{path}: above 0 is wanted, not {value!r}")
     if kind == "int" and number != int(number):
         raise ValueError(f"{path}: a whole number is wanted, not {value!r}")
--- a/pearstall/lab/clock.py
+++ b/pearstall/lab/clock.py
@@ -16,8 +16,8 @@
 from typing import Any, TypeVar
 
 T = TypeVar("T")
-START = 1000.0  # seconds; not nought, so that a time that was never set shows
-EPOCH = 1_800_000_000.0  # Unix time of the loop's nought, for what reads a calendar
+START = 1000.0  # seconds; not zero, so that a time that was never set shows
+EPOCH = 1_800_000_000.0  # Unix time at the loop's zero, for what reads a calendar
 
 
 class Stuck(Exception):
--- a/tests/test_edge_wires.py
+++ b/tests/test_edge_wires.py
@@ -258,7 +258,7 @@
             )
             await reader.readuntil(b"\r\n\r\n")
             for message in ({"type": "hello", "token": rig.token("d")}, {"type": "ask", "ask": "a", "body": BODY}):
-                text = json.dumps(message).encode()  # with a mask of noughts
+                text = json.dumps(message).encode()  # with a mask of zeros
                 writer.write(b"\x81" + bytes([0x80 | len(text)]) + bytes(4) + text)
             await until(lambda: "link_dead" in notes)  # it answers no ping
             held = Held("a", BODY, known=True)
