--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -23,10 +23,9 @@
 # A server may send a second answer some milliseconds behind the first. On a connection that was used again meanwhile
 # it would pass for the next request's, so a connection rests for this long between two requests.
 REST_BEFORE_REUSE = 0.05
-# A deadline that comes later than this tells that the loop was held up. What came meanwhile needs some turns of the
-# loop to show, and gets this time.
-HELD_UP = 0.01
-AFTER_HELD_UP = 0.05
+# After the loop was held up, a connection that is up may be found in the turn in which its deadline is due; to show
+# it needs so many turns more at most.
+TURNS_TO_COME_UP = 5
 
 
 class ServerForm(Protocol):
@@ -82,17 +81,15 @@
 
     def connect(self, limit: float) -> None:
         self._note("connect")
-        due = self.owner.deadlines.clock.time() + limit
-        self.deadline = self.owner.deadlines.at(due, lambda: self._too_long(due))
+        self.deadline = self.owner.deadlines.after(limit, self._too_long)
         self.connecting = asyncio.get_running_loop().create_task(self._connect())
 
-    def _too_long(self, due: float) -> None:
-        if self.owner.deadlines.clock.time() > due + HELD_UP:  # the connection may be up, unseen so far
-            self.deadline = self.owner.deadlines.after(AFTER_HELD_UP, self._fail_connect)
-        else:
-            self._fail_connect()
-
-    def _fail_connect(self) -> None:
+    def _too_long(self, turns: int = TURNS_TO_COME_UP) -> None:
+        if self.transport is not None or self.closed:
+            return
+        if turns:
+            asyncio.get_running_loop().call_soon(self._too_long, turns - 1)
+            return
         self._note("too long")
         self.fail("connect took too long")
 
