--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -16,12 +16,13 @@
 HEALTH = "/_health"
 LONGEST_WAIT = 3600.0
 # Every other header of a client goes on to the model server, like the idempotency key of a class that has one: these
-# are of one connection only (RFC 9110, 7.6.1), worded anew, or for the router.
+# are of one connection only (RFC 9110, 7.6.1), worded anew, or for the router, which reads answers as they are made
+# and so asks for no coding of them.
 NOT_PASSED_ON = frozenset(
     (
         *("connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "proxy-connection", "te"),
         *("trailer", "transfer-encoding", "upgrade", "host", "expect", "content-length", "content-type"),
-        *("x-txn", "x-remaining", "x-lane", "x-org", "x-entity", "x-labels", "x-resent"),
+        *("accept-encoding", "x-txn", "x-remaining", "x-lane", "x-org", "x-entity", "x-labels", "x-resent"),
     )
 )
 CACHED = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,12})')
