Keep one state for each thing that a second reading found twice, and read any indentation

- cluster.py, _take_line: a message of one line that was itself indented waited for ever (it was read before the change for indented lists); and the end of a message was told by another library's error text.
It ends where it began, with a brace.
The test has four forms; the first and third failed before.
- Signals were held back for `python -m pearstall` only, not for `pearstall run`: signals.py serves both.
- ServerLink.until stood beside Execution.until, Core.hurried beside Core.taking, nulls were taken out twice: once each.
Servers.start needs no time-out then.
Terms.came was never read.

--- a/benchmarks/terms.py
+++ b/benchmarks/terms.py
@@ -27,7 +27,6 @@
     class_index: int
     session: int
     prompt_tokens: float
-    came: int
     sent: bool = False
     answered: bool = False
     refused: bool = False
@@ -64,7 +63,7 @@
     def _event(self, at: int, who: int, kind: str, event: dict[str, Any]) -> None:
         if kind == "Request":
             self.asked[who, self.starts[who], event["id"]] = Asked(
-                event["class_index"], event.get("session", 0), event.get("prompt_tokens", 0.0), at
+                event["class_index"], event.get("session", 0), event.get("prompt_tokens", 0.0)
             )
             return
         asked = self._find(who, event.get("request"))
--- a/pearstall/__main__.py
+++ b/pearstall/__main__.py
@@ -3,12 +3,9 @@
 from __future__ import annotations
 
 import argparse
-import signal
 import sys
 
-# A signal whose handler does not stand yet ends the process. Until the loop handles them they stay pending, so that
-# a SIGHUP during the start is a reload after it.
-HANDLED_BY_LOOP = {signal.SIGHUP, signal.SIGTERM, signal.SIGUSR1}
+from pearstall import signals
 
 
 def main() -> int:
@@ -16,7 +13,7 @@
         from pearstall.cli.main import main as commands  # with its libraries; the platform needs neither
 
         return commands()
-    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_BY_LOOP)
+    signals.hold_back()
     parser = argparse.ArgumentParser(prog="pearstall", description="A router for model servers.")
     parser.add_argument("--config", default="", help="the configuration; else what EDGE_CONFIG names")
     parser.add_argument("--operators", "--openai", default="", help="the operators' settings (KDL): further fronts")
--- a/pearstall/cli/main.py
+++ b/pearstall/cli/main.py
@@ -10,6 +10,7 @@
 
 import click
 
+from pearstall import signals
 from pearstall.cli import keys as key_commands
 from pearstall.cli import lab as lab_commands
 from pearstall.cli import model as model_commands
@@ -30,6 +31,7 @@
 @click.option("--inventory", type=path, help="Model servers in a CSV or YAML file, not from discovery.")
 def run(config: Path | None, operators: Path | None, inventory: Path | None) -> None:
     """Run one router until SIGTERM or Ctrl-C."""
+    signals.hold_back()
     from pearstall.net.config import ConfigError, read_config
     from pearstall.net.serve import run as serve
 
--- a/pearstall/models/attempt.py
+++ b/pearstall/models/attempt.py
@@ -213,7 +213,7 @@
 
     # -- what surrounds the core ---------------------------------------------------------------------------
 
-    def start(self, execution: Execution, patience: float) -> Carrier | None:
+    def start(self, execution: Execution) -> Carrier | None:
         asked = self.by_query[id(execution.query)]
         if self.status[execution.replica] == "gone":
             return None
--- a/pearstall/models/listing.py
+++ b/pearstall/models/listing.py
@@ -72,7 +72,7 @@
     def _watch(self, on: bool) -> None:
         self.connected = on
 
-    def start(self, execution: Execution, patience: float) -> Carrier | None:
+    def start(self, execution: Execution) -> Carrier | None:
         asked = self.by_query[id(execution.query)]
         names = {number_of(name): name for name in ("a", "b", "c")}
         name = names[execution.replica]
--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -137,7 +137,8 @@
         self.address = address
         self.buffer = Buffer()
         self.lines = Buffer()
-        self.unfinished = b""  # the first lines of a message that is indented over several
+        self.unfinished = b""  # the first lines of a message that comes over several
+        self.indent = 0  # of the first of them
         self.body: Body | None = None
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task[None] | None = None
@@ -211,12 +212,17 @@
         """A message, or a part of one; False: neither."""
         if not line.strip():
             return not self.unfinished  # nothing comes between the lines of one message
+        indent = len(line) - len(line.lstrip())
+        if not self.unfinished:
+            self.indent = indent
+            if line[indent : indent + 1] != b"{":
+                return False
         self.unfinished += line
-        if line[:1].isspace():
-            return len(self.unfinished) <= LARGEST_LINE  # only a line without indentation ends a message
+        if indent > self.indent or not line.rstrip().endswith(b"}"):  # it ends where it began, with a brace
+            return len(self.unfinished) <= LARGEST_LINE
         news = read_host_list(self.unfinished)
         if isinstance(news, BadList):
-            return news.truncated and len(self.unfinished) <= LARGEST_LINE
+            return False
         self.unfinished = b""
         self.cluster.take(news, ListKind.FULL if news.snapshot else ListKind.DELTA)
         return True
--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -6,13 +6,13 @@
 from collections.abc import Mapping
 from dataclasses import replace
 from pathlib import Path
-from typing import TYPE_CHECKING, Annotated, TypeVar
+from typing import TYPE_CHECKING, Annotated, Any, TypeVar
 
 import msgspec
 
 from pearstall.interface import Settings
 from pearstall.net.inventory import HostList, read_host_list
-from pearstall.settings import settings_from_wire, without_nulls
+from pearstall.settings import settings_from_wire
 
 if TYPE_CHECKING:  # the platform's `run` has no such file, and imports none of this
     from pearstall.config.operators import Operators
@@ -165,11 +165,19 @@
     )
 
 
+def _without_nulls(value: Any) -> Any:
+    if isinstance(value, dict):
+        return {key: _without_nulls(part) for key, part in value.items() if part is not None}
+    if isinstance(value, list):
+        return [_without_nulls(part) for part in value]
+    return value
+
+
 def _raw(text: bytes) -> Raw:
     """A key whose value is null counts as absent."""
     parts = _decode(text, dict[str, msgspec.Raw], "configuration")
     known = parts.pop("known", msgspec.Raw(b"null"))
-    whole = without_nulls({key: _decode(bytes(part), object, key) for key, part in parts.items()})
+    whole = _without_nulls({key: _decode(bytes(part), object, key) for key, part in parts.items()})
     raw = _decode(msgspec.json.encode(whole), Raw, "configuration")
     raw.known = known
     return raw
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -173,7 +173,7 @@
 
 
 class Servers(Protocol):
-    def start(self, execution: Execution, patience: float) -> Carrier | None:
+    def start(self, execution: Execution) -> Carrier | None:
         """None: no such server is listed any more."""
 
 
@@ -191,7 +191,6 @@
         self.counters = counters
         self.servers = servers
         self.queries: Slots[Query] = Slots()
-        self.hurried = False
         self.taking = True
         self.latest = 0.0  # when a query was taken last
         self.open_ids: set[str] = set()  # the clients' own, of the queries in the slots
@@ -259,7 +258,7 @@
             self.open_ids.add(query.txn)
         if self.trace is not None:
             self.trace.query(handle, query.txn)
-        if self.hurried or not self.taking:
+        if not self.taking:
             self._answer(handle, partial(_refuse, 0))
             return handle
         query.guard = self.deadlines.at(query.deadline + GUARD, lambda: self._overdue(query))
@@ -346,7 +345,7 @@
         query.answer.again()
         execution.until = now + patience
         execution.timeout = self.deadlines.at(execution.until, lambda: self._timed_out(execution))
-        execution.carrier = self.servers.start(execution, patience)
+        execution.carrier = self.servers.start(execution)
         if execution.carrier is None:
             self._ended(execution, Result.MOOT)
 
@@ -434,7 +433,7 @@
         so may from now on whoever asks. Streams run on until the end, and many finish before it; only those
         asked for since `late` may not be cut by the end itself: they are ended here, where clients ask for
         the rest."""
-        self.hurried = True
+        self.stop_taking()
         for query in self.queries:
             if query.over or (query.passed and (not resumable or query.taken < late)):
                 continue
--- a/pearstall/net/inventory.py
+++ b/pearstall/net/inventory.py
@@ -43,7 +43,6 @@
 
 class BadList(msgspec.Struct, frozen=True):
     why: str
-    truncated: bool = False  # what came is the beginning of a message
 
 
 def read_host_list(data: bytes) -> HostList | BadList:
@@ -51,7 +50,7 @@
     try:
         message = msgspec.json.decode(data, type=_Message)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return BadList(str(error), truncated="truncated" in str(error))
+        return BadList(str(error))
     out = HostList(index=message.index, snapshot=message.snapshot)
     for raw in message.endpoints:
         try:
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -12,6 +12,7 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
+from pearstall import signals
 from pearstall.interface import ListKind
 from pearstall.net.client_link import ClientLink, ClientLinks, print_error
 from pearstall.net.cluster import Cluster
@@ -255,15 +256,11 @@
         program.traced()
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(program.exception)
-    handlers = {
-        signal.SIGTERM: program.leave,
-        signal.SIGINT: program.leave,
-        signal.SIGUSR1: program.print_counters,
-        signal.SIGHUP: program.reload,
-    }
-    for number, handler in handlers.items():
-        loop.add_signal_handler(number, handler)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, handlers)  # what came during the start is handled now
+    loop.add_signal_handler(signal.SIGTERM, program.leave)
+    loop.add_signal_handler(signal.SIGINT, program.leave)
+    loop.add_signal_handler(signal.SIGUSR1, program.print_counters)
+    loop.add_signal_handler(signal.SIGHUP, program.reload)
+    signals.let_through()
     try:
         await program.start()
     except OSError as error:
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -50,7 +50,6 @@
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task[None] | None = None
         self.execution: Execution | None = None
-        self.until = 0.0  # the router waits for the first event
         self.written = False
         self.closed = False
         self.head: Head | None = None
@@ -65,11 +64,10 @@
 
     # -- one execution -------------------------------------------------------------------------------------
 
-    def begin(self, execution: Execution, form: ServerForm, until: float) -> None:
+    def begin(self, execution: Execution, form: ServerForm) -> None:
         self._stop_clock()
         self.form = form
         self.execution = execution
-        self.until = until
         self.head = self.body = None
         self.splitter = EventSplitter()
         self.kept = self.ahead = 0
@@ -126,7 +124,7 @@
         assert self.transport is not None and self.execution is not None
         self.written = True
         # Worded now: on a connection that came up late, less time is left than when it was asked for.
-        left = self.until - self.owner.deadlines.clock.time()
+        left = self.execution.until - self.owner.deadlines.clock.time()
         self.transport.write(self.form.request(self.execution.query, self.address, left))
 
     def pause_writing(self) -> None:
@@ -325,21 +323,20 @@
         self.links: Slots[ServerLink] = Slots()
         self.idle: dict[Address, list[ServerLink]] = {}
 
-    def start(self, execution: Execution, patience: float) -> Carrier | None:
+    def start(self, execution: Execution) -> Carrier | None:
         found = self.where(execution.replica)
         if found is None:
             return None
         address, form = found
-        until = self.deadlines.clock.time() + patience
         if (link := self._take_idle(address)) is not None:
             self.counters.server_links_reused += 1
-            link.begin(execution, form, until)
+            link.begin(execution, form)
             return link
         if len(self.links) >= self.most:
             self._make_room()
         link = ServerLink(self, address)
         self.counters.server_links += 1
-        link.begin(execution, form, until)
+        link.begin(execution, form)
         link.connect(self.connect_limit)
         return link
 
@@ -347,7 +344,7 @@
         """The latest used one that has rested: the others get to close."""
         rested_since = self.deadlines.clock.time() - REST_BEFORE_REUSE
         for link in reversed(self.idle.get(address, [])):
-            if link.idle_since > rested_since or link.closed:
+            if link.idle_since > rested_since:
                 continue
             if link.transport is None or link.transport.is_closing() or pending(link.transport):
                 link.close()  # its end has come but was not read yet: the query would be a reset
--- a/pearstall/settings.py
+++ b/pearstall/settings.py
@@ -40,18 +40,9 @@
 }
 
 
-def without_nulls(value: Any) -> Any:
-    """The same without the keys whose value is null: they mean what absent ones mean, the default."""
-    if isinstance(value, dict):
-        return {key: without_nulls(part) for key, part in value.items() if part is not None}
-    if isinstance(value, list):
-        return [without_nulls(part) for part in value]
-    return value
-
-
 def settings_from_wire(text: bytes) -> Settings:
     try:
-        raw = without_nulls(json.loads(text))
+        raw = json.loads(text)
     except ValueError as error:
         raise ValueError(f"settings: not JSON ({error})") from None
     if not isinstance(raw, dict):
--- a/tests/edge_support.py
+++ b/tests/edge_support.py
@@ -87,7 +87,7 @@
         )  # fmt: skip
         self.sessions = self.edge.sessions
 
-    def start(self, execution: Execution, patience: float) -> Carrier:
+    def start(self, execution: Execution) -> Carrier:
         out = sum(1 for one in execution.query.executions if not one.ended)
         handle = id(execution.query)
         self.most_out[handle] = max(self.most_out.get(handle, 0), out)
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -79,7 +79,7 @@
         replicas = [Replica(id, 0, 0, State.READY) for id in (1, 2, 3)]
         self.core.listed(ReplicaList(ListKind.FULL, replicas))
 
-    def start(self, execution: Execution, patience: float) -> Carrier | None:
+    def start(self, execution: Execution) -> Carrier | None:
         self.out.append(execution)
         self.said.append(f"send {execution.number}")
         return self
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -216,7 +216,7 @@
     asyncio.run(scene())
 
 
-def test_a_connection_that_has_rested_is_used_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_connection_that_has_rested_is_used_again(tmp_path: Path) -> None:
     """The latest used one of those: what the others have is left to close."""
 
     async def scene() -> None:
@@ -243,8 +243,8 @@
             program, ports = await stack.enter_async_context(running(tmp_path, servers))
             begin, drained = program.servers.start, list[ModelServer]()
 
-            def drain_behind(execution: Execution, patience: float) -> Carrier | None:
-                carrier = begin(execution, patience)
+            def drain_behind(execution: Execution) -> Carrier | None:
+                carrier = begin(execution)
                 if not drained:  # told in the turn after the pick, before the connection can be up
                     name = next(name for name in ("s0", "s1") if number_of(name) == execution.replica)
                     drained.append(servers[int(name[1])])
@@ -268,8 +268,8 @@
         async with routed(tmp_path) as (_, program, port):
             begin = program.servers.start
 
-            def held_up(execution: Execution, patience: float) -> Carrier | None:
-                carrier = begin(execution, patience)
+            def held_up(execution: Execution) -> Carrier | None:
+                carrier = begin(execution)
                 program.loop.call_soon(time.sleep, 2 * program.servers.connect_limit)
                 return carrier
 
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -151,14 +151,16 @@
     assert {host.name: host.status for host in found.hosts} == {"s1": "draining", "s2": "ready"}
 
 
-@pytest.mark.parametrize("cut", [False, True])
-def test_a_message_may_be_indented_over_lines_but_not_break_off(cut: bool, tmp_path: Path) -> None:
+@pytest.mark.parametrize("form", ["one line", "lines", "lines further in", "broken off"])
+def test_a_message_may_be_indented_over_lines_but_not_break_off(form: str, tmp_path: Path) -> None:
     """Heartbeats behind half a message would keep a watch alive whose news is lost."""
 
     async def scene() -> None:
-        indented = json.dumps(json.loads(message(GOOD, index=6)), indent=1).encode()
-        lines = [indented[:60], b"", b""] if cut else [indented, b""]
-        discovery = Discovery(lines, [message(GOOD, index=7)])
+        cut, whole = form == "broken off", message(GOOD, index=6)
+        indented = json.dumps(json.loads(whole), indent=1).encode()
+        further = b"  " + indented.replace(b"\n", b"\n  ")
+        forms = {"one line": b"  " + whole, "lines": indented, "lines further in": further}
+        discovery = Discovery([forms.get(form, indented[:60]), b"", b""], [message(GOOD, index=7)])
         listener = await asyncio.start_server(discovery.link, LOCAL, 0)
         port = listener.sockets[0].getsockname()[1]
         async with running(tmp_path, [], discovery=port) as (program, _):
