--- a/benchmarks/site_variants.py
+++ b/benchmarks/site_variants.py
@@ -1,6 +1,6 @@
 """Variants of a site for the operators' bench, so that nothing in the router fits one deployment only.
 
-    python benchmarks/site_variants.py [SITE.toml] [--output FOLDER]
+    python benchmarks/site_variants.py [SITE.toml] [--output FOLDER]    # with requirements-dev.txt
 
 Reads the site file and writes `many-classes.toml`, `one-class.toml` and `pushed-lists.toml`, with copies of the files
 that the bench wants beside a site. They differ from the site and from each other in the names and number of classes,
@@ -15,10 +15,11 @@
 import shutil
 import sys
 import tomllib
-from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
+import tomli_w
+
 ROOT = Path(__file__).parent.parent
 SITE = ROOT.parent / "given" / "kit" / "sites" / "punten-assistent.toml"
 OUTPUT = ROOT / "deploy" / "sites"
@@ -119,36 +120,6 @@
     return variant
 
 
-def dump(table: Table, path: str = "") -> Iterator[str]:
-    """TOML of plain values, tables and lists of tables, which is all that sites have."""
-    tables = {key: value for key, value in table.items() if isinstance(value, dict)}
-    lists = {
-        key: value
-        for key, value in table.items()
-        if isinstance(value, list) and value and isinstance(value[0], dict)
-    }
-    for key, value in table.items():
-        if key not in tables and key not in lists:
-            yield f"{key} = {plain(value)}"
-    for key, part in tables.items():
-        yield f"\n[{path}{key}]"
-        yield from dump(part, f"{path}{key}.")
-    for key, parts in lists.items():
-        for part in parts:
-            yield f"\n[[{path}{key}]]"
-            yield from dump(part, f"{path}{key}.")
-
-
-def plain(value: Any) -> str:
-    if isinstance(value, bool):
-        return "true" if value else "false"
-    if isinstance(value, str):
-        return '"' + value.replace("\\", "\\\\").replace('"', '\\"') + '"'
-    if isinstance(value, list):
-        return "[" + ", ".join(plain(item) for item in value) + "]"
-    return repr(value)
-
-
 def write_variants(source: Path, output: Path) -> list[Path]:
     missing = [path for path in (source, *(source.parent / name for name in BESIDE)) if not path.is_file()]
     if missing:
@@ -160,7 +131,7 @@
     written = []
     for variant in (many_classes(site), one_class(site), pushed_lists(site)):
         target = output / f"{variant['name']}.toml"
-        target.write_text("\n".join(dump(variant)) + "\n")
+        target.write_text(tomli_w.dumps(variant))
         written.append(target)
     return written
 
--- a/tests/test_site_variants.py
+++ b/tests/test_site_variants.py
@@ -7,9 +7,10 @@
 from typing import Any
 
 import pytest
+import tomli_w
 
 from benchmarks import site_variants
-from benchmarks.site_variants import BESIDE, dump, write_variants
+from benchmarks.site_variants import BESIDE, write_variants
 
 PROMPTS = {"turns": [4.0, 6.0], "token_ms": 90, "prefixes": [2, 5]}
 SITE: dict[str, Any] = {
@@ -28,8 +29,7 @@
 
 
 def written(folder: Path) -> list[dict[str, Any]]:
-    (folder / "site.toml").write_text("\n".join(dump(SITE)))
-    assert tomllib.loads((folder / "site.toml").read_text()) == SITE
+    (folder / "site.toml").write_text(tomli_w.dumps(SITE))
     for name in BESIDE:
         (folder / name).write_text(name)
     paths = write_variants(folder / "site.toml", folder / "out")
