Judge late first tokens against an idle replica, and give each class its part

Causes, each followed to its line: (1) `_learn_room` took each first token past half of its class's aim for a crowd. One class whose aim can't be met lowered the one limit on streams to its least and held it there; what has no home and no session may not go beyond it. Late is now also four times as late as on an idle replica. (2) The limit was one for all: each class now has half of an equal part of it, one stream at least. (4) `_due` waited two intervals of the longest aim of all; now the class's own give-up time. (5) Retries after time-outs and second copies had one budget; now each class has its own. Base times heed give-up times where all aims are next to nothing.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -25,8 +25,6 @@
     ListKind,
     Log,
     Outcome,
-    PeerMessage,
-    ProbeResult,
     Refuse,
     Replica,
     ReplicaList,
@@ -89,10 +87,16 @@
 QUICK_READING = 3.0  # a first token counts while what it reads takes so many median intercepts at most
 QUICK_GAP = 4.0  # where samples are rare, one moves the median so many times as far at most
 QUICK_MOST = 8.0  # and how high it goes, in the longest token aims; more than enough to shed all
-LET_IN = 2.0  # intervals after which a class of which nothing was sent on has one request let in
+LET_IN = 1.0  # of its own give-up time: after this a class of which nothing was sent on has one request let in
+CLASS_PART = 0.5  # of an equal part of the streams here a class may have whatever the others hold; one at least
+CLASS_FADE = 0.8  # what an interval leaves of the requests counted for a class
+IN_TIME_STEP = 0.3  # weight of one attempt in the share of its class that is in time
+IN_TIME_START = 0.75  # of it
+IN_TIME_LEAST = 0.7  # under this share a class without late worth has until its deadline, as the others
+CLASS_ASKED = 0.3  # a class with fewer of them is not there just now
+STANDING = 1.6  # how far its worth moves the share of a class that is shed, either way
 SHED_MOST = 0.9  # some always go, or nothing would tell that it got better
 OVER_SHARE = 1.5  # a tenant floods from this many times its share of recent requests on
-STANDING = 1.6  # how far worth for work moves the share shed, either way
 REFUSE_MARGIN = 1.2  # a prediction over this many times the time left can't earn
 HEDGE_TIMES = 3.0  # a second attempt goes out after this many times the predicted first token
 HEDGE_ROOM = 1.3  # and only while this many median predictions still fit before the aim
@@ -118,6 +122,9 @@
 ROOM_HOME = 1.5  # what a replica may hold of requests whose beginning is at home there, and of others
 ROOM_AWAY = 0.75
 ROOM_LATE_PART = 0.5  # of the aim: a first token later than that tells of a crowd
+LATE_IDLE = 4.0  # and this many times as late as on an idle replica: a limit makes nothing sooner than that
+IDLE_STEP = 0.1  # how far a sample moves the time that a prompt token takes on an idle replica;
+IDLE_PART = 0.1  # so many samples take less
 RETRY_SHARE = 0.5  # executions after a time-out, as a share of requests: a general failure multiplies no load
 RETRY_BURST = 5.0
 REPEAT_TRANSIT = 100_000  # microseconds from the first byte of a repeat to its arrival at the replica
@@ -170,9 +177,8 @@
         self.request = request
         self.klass = klass
         self.born = born  # when its client asked first, as far as this gateway knows
-        aim = born + klass.aim + int(klass.aim_per_1000_tokens * request.prompt_tokens / 1000)
-        self.aim_at = aim
-        self.earn_by = request.deadline if klass.late_worth > 0 else min(aim, request.deadline)
+        self.aim_at = born + klass.aim + int(klass.aim_per_1000_tokens * request.prompt_tokens / 1000)
+        self.earn_by = request.deadline
         self.attempts: list[_Attempt] = []
         self.out = 0
         self.answered = False
@@ -184,6 +190,20 @@
         self.session_home = -1  # the place of the session's
 
 
+class _ClassState:
+    """What this gateway knows of one class of requests."""
+
+    __slots__ = ("asked", "out", "sent_at", "in_time", "hedges", "retries")
+
+    def __init__(self) -> None:
+        self.asked = 0.0  # recent requests
+        self.out = 0  # own attempts out
+        self.sent_at = 0  # when a request was sent on last
+        self.in_time = IN_TIME_START  # recent share of attempts whose first token came before the aim
+        self.hedges = HEDGE_BURST
+        self.retries = RETRY_BURST
+
+
 class _Replica:
     __slots__ = ("id", "zone", "cell", "kind", "mark", "place", "ready", "started",
                  "consecutive_5xx", "consecutive_gateway_failure", "successes", "volume", "thin",
@@ -267,7 +287,7 @@
         self.most_ready = 0
         self.ejected = 0
         self.next_return = 1 << 62
-        longest = max(klass.aim for klass in settings.classes)
+        longest = max(max(klass.aim, klass.give_up // 20) for klass in settings.classes)
         # One class that wants its answers at once must not make what is remembered for all forgotten at once.
         self.shortest = max(min(klass.aim for klass in settings.classes), longest // 20, 1)
         self.interval = int(INTERVAL_AIMS * longest)
@@ -280,8 +300,7 @@
         self.medians: dict[int, tuple[float, float, float]] = {}  # by kind, where enough have samples
         self.learned = False  # the median comes from samples
         self.timeouts = 0.0  # recent share of time-outs over all replicas
-        self.hedges = HEDGE_BURST
-        self.retries = RETRY_BURST
+        self.states = [_ClassState() for _ in settings.classes]
         self.room = ROOM_START / settings.gateways  # own streams for each replica's worth of capacity
         self.crowded = False  # a late first token was seen
         self.capacity = 1.0  # of the ready replicas, in warm ones
@@ -291,15 +310,14 @@
         self.crowding = 0.0  # what one stream weighs in the pick under way
         self.zone_failing = [0.0] * settings.zones  # recent share of time-outs and failed connects
         self.zone_least = [1 << 62] * settings.zones  # the shortest first token from a zone
-        self.held_time = [0.0] * len(settings.classes)  # mean time an answer of the class takes, in seconds
+        self.read_time = 0.0  # that a prompt token takes on an idle replica; 0: no sample yet
         # Running median of first tokens with little to read before them; no alarm before samples.
         token_aims = [klass.token_aim for klass in settings.classes if klass.token_aim] or [1.0]
         self.quick = min(token_aims)
         self.quick_at = 0
         self.token_aim = 0.0  # of the usual request here; 0: none of them has one
-        self.sent_at = [0] * len(settings.classes)  # when a request of the class was sent on last
+        self.mean_worth = 0.0  # of what was asked
         self.quick_most = QUICK_MOST * max(token_aims)  # a burst must not keep load shed long after it
-        self.mean_density = 0.0  # mean worth for that time, over what was asked
         self.turned_away: dict[tuple[int, float], int] = {}  # session and prompt: when it came first
         self.asked_share = list(settings.tenant_shares)  # each tenant's part of recent requests here
         self.holders: dict[int, list[int]] = {}  # session or ~prefix: ids of replicas believed to hold it
@@ -326,8 +344,6 @@
             Timer: self._on_timer,
             ClientGone: self._on_client_gone,
             ReplicaList: self._on_list,
-            ProbeResult: self._ignore,
-            PeerMessage: self._ignore,
         }
 
     def start(self, now: int) -> list[Action]:
@@ -348,12 +364,10 @@
             self._sweep()
         if now >= self.next_return:
             self._rebuild()
-        self._handlers[type(event)](event)
+        if handler := self._handlers.get(type(event)):  # reports and peers' messages move no decision
+            handler(event)
         return self.actions
 
-    def _ignore(self, event: Event) -> None:
-        pass
-
     # -- requests ------------------------------------------------------------------------------------------
 
     def _on_request(self, request: Request) -> None:
@@ -370,11 +384,14 @@
             # try. Served as new, such repeats would keep an overload going with work that can't earn.
             first = self.turned_away.get((request.session, request.prompt_tokens), born)
             born = first if born - first < klass.give_up else born
-        held = self.held_time[request.class_index]
-        if held:
-            density = klass.worth / held
-            self.mean_density += 0.05 * (density - self.mean_density) if self.mean_density else density
+        state = self.states[request.class_index]
+        state.asked += 1.0
+        self.mean_worth += 0.05 * (klass.worth - self.mean_worth) if self.mean_worth else klass.worth
+        state.hedges = min(HEDGE_BURST, state.hedges + HEDGE_SHARE)
+        state.retries = min(RETRY_BURST, state.retries + RETRY_SHARE)
         call = _Call(request, klass, born)
+        if klass.late_worth <= 0 and state.in_time > IN_TIME_LEAST:  # else its client waits on all the same
+            call.earn_by = min(request.deadline, call.aim_at)
         work = request.prompt_tokens + DECODE_TOKENS
         self.usual_work += 0.02 * (work - self.usual_work) if self.usual_work else work
         if klass.token_aim:
@@ -386,8 +403,6 @@
             self.asked_prefix[request.prefix] = self.asked_prefix.get(request.prefix, 0.0) + 1.0
             self.asked_prefixes += 1.0
         self.calls[request.id] = call
-        self.hedges = min(HEDGE_BURST, self.hedges + HEDGE_SHARE)
-        self.retries = min(RETRY_BURST, self.retries + RETRY_SHARE)
         self._place(call)
 
     def _place(self, call: _Call) -> None:
@@ -408,7 +423,10 @@
     def _due(self, call: _Call) -> bool:
         """Nothing of its class was sent on for long: whatever was learned against it, one goes. Else that would never
         be put right, as what a class meets shows in its own answers only."""
-        return not call.attempts and self.now - self.sent_at[call.request.class_index] > LET_IN * self.interval
+        return not call.attempts and self.now - self._state(call).sent_at > LET_IN * call.klass.give_up
+
+    def _state(self, call: _Call) -> _ClassState:
+        return self.states[call.request.class_index]
 
     def _hopeless(self, call: _Call, replica: _Replica, predicted: float, left: int) -> str:
         """Why the best replica found won't do, or nothing: it would answer too late, or tokens come too slowly
@@ -419,8 +437,9 @@
             return "pace"
         # Every replica is home to some: what is out to all of them together stays bounded as well, or a jam of
         # hundreds of gateways never ends. Sent elsewhere it would have to be read anew, and there is no room either.
-        full = self.crowded and self.out >= max(1.0, ROOM_HOME * self.room * self._capacity_now())
-        if full or self._crowded(replica, call):
+        limit = max(1.0, ROOM_HOME * self.room * self._capacity_now())
+        full = (self.crowded and self.out >= limit) or replica.streams >= self._slots(replica, call)
+        if full and self._state(call).out >= self._class_part(limit):
             return "crowded"  # nowhere is there room: one more would make all that run there late
         if call.attempts and predicted > left:
             return "again"  # sent again for nothing, over a connection that costs the replica a handshake
@@ -442,6 +461,12 @@
             return True
         return self.random() < min(SHED_GAIN * over / self._standing(call), SHED_MOST)
 
+    def _class_part(self, limit: float) -> float:
+        """Own streams that a class may have whatever the others hold, where several classes ask. The limit is one for
+        all: what some of them teach or take must not keep another one out."""
+        asking = sum(state.asked > CLASS_ASKED for state in self.states)
+        return max(1.0, CLASS_PART * limit / asking) if asking > 1 else 0.0
+
     def _slots(self, replica: _Replica, call: _Call) -> int:
         """How many own streams it may have. Streams share a replica's steps and memory: past some number of them each
         further one makes all slower, and first tokens stop coming. How many that is, is learned from how late these
@@ -452,9 +477,6 @@
             room = 1.0  # a part of the replicas costs what the others keep: not before there is need
         return int(room * self._likely(replica) + replica.luck)
 
-    def _crowded(self, replica: _Replica, call: _Call) -> bool:
-        return replica.streams >= self._slots(replica, call)
-
     def _capacity_now(self) -> float:
         if self.now - self.capacity_at > self.interval // 12:
             self.capacity_at = self.now
@@ -466,19 +488,31 @@
         least = self._capacity(replica)
         return least**LIKELY if least < 1.0 else 1.0
 
-    def _learn_room(self, call: _Call, replica: _Replica, took: int) -> None:
-        if self._likely(replica) < 1.0:
+    def _learn_room(self, call: _Call, attempt: _Attempt, took: int) -> None:
+        """A late first token tells of a crowd, unless an idle replica is about as late: a limit learned from an aim
+        that can't be met would fall to its least, and keep out whoever has no home of its own."""
+        if self._likely(attempt.replica) < 1.0:
             return  # it is cold that is slow there
-        klass = call.klass
-        aim = klass.aim + klass.aim_per_1000_tokens * call.request.prompt_tokens / 1000
         least, most = ROOM_LEAST / self.settings.gateways, ROOM_MOST / self.settings.gateways
         level = self.out / self._capacity_now()
-        if took > ROOM_LATE_PART * aim:
+        self._learn_idle(attempt, took)
+        idle = self._idle_time(call.request.prompt_tokens)
+        if took > max(ROOM_LATE_PART * (call.aim_at - call.born), LATE_IDLE * idle):
             self.crowded = True
             self.room = max(least, min(self.room, 1.2 * level) * ROOM_LATE)
         elif level > ROOM_USED * self.room:
             self.room = min(most, self.room * (ROOM_GOOD if self.crowded else ROOM_EARLY))
 
+    def _learn_idle(self, attempt: _Attempt, took: int) -> None:
+        if attempt.unread > 0:
+            sample = max(0, took - min(self.zone_least)) / attempt.unread
+            step = IDLE_STEP * (IDLE_PART - 1 if sample < self.read_time else IDLE_PART)
+            self.read_time = self.read_time * (1 + step) or sample
+
+    def _idle_time(self, tokens: float) -> float:
+        """What a first token takes on an idle replica that keeps nothing of the prompt, as far as was seen here."""
+        return min(self.zone_least) + self.read_time * tokens
+
     def _beyond_share(self, tenant: int) -> bool:
         """Whether this request counts to what its tenant asks beyond its share, by chance in proportion: one
         tenant's flood must not take what the others are due."""
@@ -488,12 +522,8 @@
         return self.random() * self.asked_share[tenant] > OVER_SHARE * shares[tenant]
 
     def _standing(self, call: _Call) -> float:
-        """Under overload, worth for the time a replica is held goes first: this class against the mean."""
-        index = call.request.class_index
-        held = self.held_time[index]
-        if held <= 0 or self.mean_density <= 0:
-            return 1.0
-        return min(STANDING, max(1 / STANDING, call.klass.worth / held / self.mean_density))
+        """Under overload, what is worth more than the mean goes first."""
+        return min(STANDING, max(1 / STANDING, call.klass.worth / (self.mean_worth or 1.0)))
 
     def _hold(self, call: _Call, left: int) -> None:
         self.held[call.request.id] = call
@@ -503,7 +533,6 @@
     def _end(self, call: _Call, why: str) -> None:
         """The final answer where none was served."""
         refuse = self._may_refuse(call)
-        self.held.pop(call.request.id, None)
         self._cancel_out(call)
         id = call.request.id
         self.actions.append(Refuse(id, self.settings.max_retry_after, why) if refuse else Fail(id, why))
@@ -532,10 +561,7 @@
     # Rule 2. An attempt may have run unless its outcome proves otherwise; one that is out may run yet.
 
     def _may_have_run(self, call: _Call) -> _Attempt | None:
-        for attempt in call.attempts:
-            if attempt.result not in NEVER_RAN:
-                return attempt
-        return None
+        return next((attempt for attempt in call.attempts if attempt.result not in NEVER_RAN), None)
 
     def _may_resend(self, call: _Call) -> bool:
         if call.klass.effect == Effect.PURE or not call.attempts:
@@ -584,7 +610,9 @@
         call.attempts.append(attempt)
         call.out += 1
         self.out += 1
-        self.sent_at[request.class_index] = now
+        state = self._state(call)
+        state.sent_at = now
+        state.out += 1
         replica.waiting[attempt] = None
         replica.unread += unread
         replica.streams += 1
@@ -637,15 +665,15 @@
 
     def _hedge(self, call: _Call) -> None:
         """A second copy, while it can still pay: the first may hang, or wait behind something heavy."""
-        left = call.earn_by - self.now
+        left, state = call.earn_by - self.now, self._state(call)
         if call.out != 1 or len(call.attempts) >= self.settings.max_attempts:
             return
-        if self.hedges < 1 or not self._may_resend(call):
+        if state.hedges < 1 or not self._may_resend(call):
             return
         replica, predicted = self._choose(call, left)
         if replica is None or predicted > left or replica is call.attempts[-1].replica:
             return
-        self.hedges -= 1
+        state.hedges -= 1
         self._send(call, replica, predicted, left)
         call.hedge_at = 0
 
@@ -657,8 +685,10 @@
         if not attempt.waiting or attempt.result >= 0:
             return
         self._not_waiting(attempt)
+        state = self._state(call)
+        state.in_time += IN_TIME_STEP * ((self.now <= call.aim_at) - state.in_time)
         self._learn(attempt, event.took)
-        self._learn_room(call, attempt.replica, event.took)
+        self._learn_room(call, attempt, event.took)
         # Envoy judges an answer when it begins. Judged seconds later, at its end, a busy replica that still
         # answers would be ejected by a streak of time-outs among its first tokens.
         self._judge(attempt.replica, Result.OK)
@@ -674,6 +704,8 @@
         if attempt.result >= 0:
             return
         attempt.result = event.result
+        state = self._state(call)
+        state.out -= 1
         call.out -= 1
         self.out -= 1
         replica = attempt.replica
@@ -685,14 +717,10 @@
                 self._learn(attempt, event.took)
             elif event.took > attempt.predicted and event.result in (Result.TIMEOUT, Result.CANCELLED):
                 self._learn(attempt, event.took)  # it would have taken at least as long
-                self._learn_room(call, replica, event.took)
+                self._learn_room(call, attempt, event.took)
         if event.result == Result.OK:
             replica.shut = 0
             self._found(attempt, call, event.kept_tokens)
-            index = call.request.class_index
-            took = max(1, event.took) / 1e6
-            held = self.held_time[index]
-            self.held_time[index] = held + 0.03 * (took - held) if held else took
         elif event.result == Result.FULL:
             replica.full_until = self.now + self.shortest // 4
         elif event.result == Result.CONNECT_FAILED:
@@ -707,10 +735,11 @@
         elif not call.out:
             call.streaming = False
             if event.result == Result.TIMEOUT:
-                if self.retries < 1.0:
+                state.in_time -= IN_TIME_STEP * state.in_time
+                if state.retries < 1.0:
                     self._end(call, "retries")
                     return
-                self.retries -= 1.0
+                state.retries -= 1.0
             self._place(call)
 
     def _on_client_gone(self, event: ClientGone) -> None:
@@ -897,7 +926,7 @@
                 return False
         else:
             replica.cold_at = -1
-        return again > 0 or not self._crowded(replica, call)
+        return again > 0 or replica.streams < self._slots(replica, call)
 
     def _capacity(self, replica: _Replica) -> float:
         """The least part of its capacity that a starting replica can have by now."""
@@ -1122,7 +1151,7 @@
         time = min(self.base_ejection_time * replica.multiplier, self.max_ejection_time)
         replica.ejected_until = self.now + time
         replica.consecutive_5xx = replica.consecutive_gateway_failure = 0
-        self._log(f"eject replica {replica.id} for {time // 1000} ms: {why}")
+        self.actions.append(Log(f"eject replica {replica.id} for {time // 1000} ms: {why}"))
         self._rebuild()
 
     def _sweep(self) -> None:
@@ -1176,6 +1205,8 @@
             self.asked_prefix[prefix] *= fade
             if self.asked_prefix[prefix] < 0.05:
                 self.asked_prefixes -= self.asked_prefix.pop(prefix)
+        for state in self.states:
+            state.asked *= CLASS_FADE**passed
         rate = self.work_sent * 1e6 / (passed * self.interval * self._capacity_now())
         self.work_rate = rate if not self.work_rate else self.work_rate + 0.3 * (rate - self.work_rate)
         # What warm replicas bore once they can bear: while load is shed, cold ones are needed most.
@@ -1267,6 +1298,3 @@
     def _ask_in(self, delay: int) -> None:
         self.ask_at = self.now + delay
         self.actions.append(SetTimer(delay, SUBSCRIBE_TAG))
-
-    def _log(self, text: str) -> None:
-        self.actions.append(Log(text))
