Let the Router take other classes, tenants and limits while it runs

Its class state stays with each open call, so that a call ends under what it began with; what derives from the settings is adopted anew, and classes and tenants are found again by their number before.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
+from collections.abc import Sequence
 from random import Random
 from typing import Any
 
@@ -170,12 +171,13 @@
 class _Call:
     """A request this gateway has taken, until it is answered and its attempts have ended."""
 
-    __slots__ = ("request", "klass", "born", "aim_at", "earn_by", "attempts", "out", "answered", "streaming",
+    __slots__ = ("request", "klass", "state", "born", "aim_at", "earn_by", "attempts", "out", "answered", "streaming",
                  "hedge_at", "homes_ring", "homes_from", "homes", "session_home")  # fmt: skip
 
-    def __init__(self, request: Request, klass: RequestClass, born: int) -> None:
+    def __init__(self, request: Request, klass: RequestClass, born: int, state: _ClassState | None = None) -> None:
         self.request = request
         self.klass = klass
+        self.state = state or _ClassState()
         self.born = born  # when its client asked first, as far as this gateway knows
         self.aim_at = born + klass.aim + int(klass.aim_per_1000_tokens * request.prompt_tokens / 1000)
         self.earn_by = request.deadline
@@ -273,7 +275,7 @@
     """The decisions of one gateway."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        self.settings = settings
+        self._adopt(settings)
         self.random = Random(seed).random
         self.salt = _mix(seed)
         self.now = 0
@@ -287,13 +289,6 @@
         self.most_ready = 0
         self.ejected = 0
         self.next_return = 1 << 62
-        longest = max(max(klass.aim, klass.give_up // 20) for klass in settings.classes)
-        # One class that wants its answers at once must not make what is remembered for all forgotten at once.
-        self.shortest = max(min(klass.aim for klass in settings.classes), longest // 20, 1)
-        self.interval = int(INTERVAL_AIMS * longest)
-        self.base_ejection_time = int(BASE_EJECTION_AIMS * longest)
-        self.max_ejection_time = MAX_EJECTION_TIMES * self.base_ejection_time
-        self.fade = FADE_AIMS * longest
         self.next_sweep = 0
         # The prediction of a replica without samples: intercept, a thousand unread tokens, a stream.
         self.median = (self.shortest / 10, self.shortest / 8, self.shortest / 100)
@@ -305,19 +300,16 @@
         self.crowded = False  # a late first token was seen
         self.capacity = 1.0  # of the ready replicas, in warm ones
         self.capacity_at = -1
-        self.crossing = CROSSING * settings.cross_zone_price * self.shortest
         self.out = 0  # own attempts out
         self.crowding = 0.0  # what one stream weighs in the pick under way
         self.zone_failing = [0.0] * settings.zones  # recent share of time-outs and failed connects
         self.zone_least = [1 << 62] * settings.zones  # the shortest first token from a zone
         self.read_time = 0.0  # that a prompt token takes on an idle replica; 0: no sample yet
         # Running median of first tokens with little to read before them; no alarm before samples.
-        token_aims = [klass.token_aim for klass in settings.classes if klass.token_aim] or [1.0]
-        self.quick = min(token_aims)
+        self.quick = self.quick_most / QUICK_MOST
         self.quick_at = 0
         self.token_aim = 0.0  # of the usual request here; 0: none of them has one
         self.mean_worth = 0.0  # of what was asked
-        self.quick_most = QUICK_MOST * max(token_aims)  # a burst must not keep load shed long after it
         self.turned_away: dict[tuple[int, float], int] = {}  # session and prompt: when it came first
         self.asked_share = list(settings.tenant_shares)  # each tenant's part of recent requests here
         self.holders: dict[int, list[int]] = {}  # session or ~prefix: ids of replicas believed to hold it
@@ -346,6 +338,27 @@
             ReplicaList: self._on_list,
         }
 
+    def _adopt(self, settings: Settings) -> None:
+        self.settings = settings
+        longest = max(max(klass.aim, klass.give_up // 20) for klass in settings.classes)
+        # One class that wants its answers at once must not make what is remembered for all forgotten at once.
+        self.shortest = max(min(klass.aim for klass in settings.classes), longest // 20, 1)
+        self.interval = int(INTERVAL_AIMS * longest)
+        self.base_ejection_time = int(BASE_EJECTION_AIMS * longest)
+        self.max_ejection_time = MAX_EJECTION_TIMES * self.base_ejection_time
+        self.fade = FADE_AIMS * longest
+        self.crossing = CROSSING * settings.cross_zone_price * self.shortest
+        token_aims = [klass.token_aim for klass in settings.classes if klass.token_aim] or [1.0]
+        self.quick_most = QUICK_MOST * max(token_aims)  # a burst must not keep load shed long after it
+
+    def reconfigure(self, settings: Settings, classes: Sequence[int], tenants: Sequence[int]) -> None:
+        """Other classes, tenants and limits; of each class and tenant its number before, or -1. What is open goes on
+        as its class was, zones and gateways stay."""
+        self.states = [self.states[old] if old >= 0 else _ClassState() for old in classes]
+        shares = settings.tenant_shares
+        self.asked_share = [self.asked_share[old] if old >= 0 else shares[new] for new, old in enumerate(tenants)]
+        self._adopt(settings)
+
     def start(self, now: int) -> list[Action]:
         self.now = now
         self.actions = []
@@ -389,7 +402,7 @@
         self.mean_worth += 0.05 * (klass.worth - self.mean_worth) if self.mean_worth else klass.worth
         state.hedges = min(HEDGE_BURST, state.hedges + HEDGE_SHARE)
         state.retries = min(RETRY_BURST, state.retries + RETRY_SHARE)
-        call = _Call(request, klass, born)
+        call = _Call(request, klass, born, state)
         if klass.late_worth <= 0 and state.in_time > IN_TIME_LEAST:  # else its client waits on all the same
             call.earn_by = min(request.deadline, call.aim_at)
         work = request.prompt_tokens + DECODE_TOKENS
@@ -423,10 +436,7 @@
     def _due(self, call: _Call) -> bool:
         """Nothing of its class was sent on for long: whatever was learned against it, one goes. Else that would never
         be put right, as what a class meets shows in its own answers only."""
-        return not call.attempts and self.now - self._state(call).sent_at > LET_IN * call.klass.give_up
-
-    def _state(self, call: _Call) -> _ClassState:
-        return self.states[call.request.class_index]
+        return not call.attempts and self.now - call.state.sent_at > LET_IN * call.klass.give_up
 
     def _hopeless(self, call: _Call, replica: _Replica, predicted: float, left: int) -> str:
         """Why the best replica found won't do, or nothing: it would answer too late, or tokens come too slowly
@@ -439,7 +449,7 @@
         # hundreds of gateways never ends. Sent elsewhere it would have to be read anew, and there is no room either.
         limit = max(1.0, ROOM_HOME * self.room * self._capacity_now())
         full = (self.crowded and self.out >= limit) or replica.streams >= self._slots(replica, call)
-        if full and self._state(call).out >= self._class_part(limit):
+        if full and call.state.out >= self._class_part(limit):
             return "crowded"  # nowhere is there room: one more would make all that run there late
         if call.attempts and predicted > left:
             return "again"  # sent again for nothing, over a connection that costs the replica a handshake
@@ -495,24 +505,18 @@
             return  # it is cold that is slow there
         least, most = ROOM_LEAST / self.settings.gateways, ROOM_MOST / self.settings.gateways
         level = self.out / self._capacity_now()
-        self._learn_idle(attempt, took)
-        idle = self._idle_time(call.request.prompt_tokens)
+        shortest = min(self.zone_least)
+        if attempt.unread > 0:
+            sample = max(0, took - shortest) / attempt.unread
+            step = IDLE_STEP * (IDLE_PART - 1 if sample < self.read_time else IDLE_PART)
+            self.read_time = self.read_time * (1 + step) or sample
+        idle = shortest + self.read_time * call.request.prompt_tokens  # of which nothing is kept
         if took > max(ROOM_LATE_PART * (call.aim_at - call.born), LATE_IDLE * idle):
             self.crowded = True
             self.room = max(least, min(self.room, 1.2 * level) * ROOM_LATE)
         elif level > ROOM_USED * self.room:
             self.room = min(most, self.room * (ROOM_GOOD if self.crowded else ROOM_EARLY))
 
-    def _learn_idle(self, attempt: _Attempt, took: int) -> None:
-        if attempt.unread > 0:
-            sample = max(0, took - min(self.zone_least)) / attempt.unread
-            step = IDLE_STEP * (IDLE_PART - 1 if sample < self.read_time else IDLE_PART)
-            self.read_time = self.read_time * (1 + step) or sample
-
-    def _idle_time(self, tokens: float) -> float:
-        """What a first token takes on an idle replica that keeps nothing of the prompt, as far as was seen here."""
-        return min(self.zone_least) + self.read_time * tokens
-
     def _beyond_share(self, tenant: int) -> bool:
         """Whether this request counts to what its tenant asks beyond its share, by chance in proportion: one
         tenant's flood must not take what the others are due."""
@@ -610,9 +614,8 @@
         call.attempts.append(attempt)
         call.out += 1
         self.out += 1
-        state = self._state(call)
-        state.sent_at = now
-        state.out += 1
+        call.state.sent_at = now
+        call.state.out += 1
         replica.waiting[attempt] = None
         replica.unread += unread
         replica.streams += 1
@@ -636,12 +639,10 @@
             if patience > 1.2 * predicted and len(call.attempts) < settings.max_attempts:
                 if settings.second_copies and settings.may_cancel:
                     call.hedge_at = now + int(patience)
-                    self.actions.append(Send(request.id, replica.id, timeout))
                     self.actions.append(SetTimer(int(patience), request.id))
-                    return
                 # With many late, all may well take so long: what was read for it is lost with the attempt, and the
                 # next one has it to read again, where others wait as well.
-                if self.timeouts < PATIENCE_TIMEOUTS:
+                elif self.timeouts < PATIENCE_TIMEOUTS:
                     timeout = int(patience)
                     # A hang is left while another still fits before the aim, and not only before the deadline.
                     before_aim = int(call.aim_at - now - other)
@@ -665,7 +666,7 @@
 
     def _hedge(self, call: _Call) -> None:
         """A second copy, while it can still pay: the first may hang, or wait behind something heavy."""
-        left, state = call.earn_by - self.now, self._state(call)
+        left, state = call.earn_by - self.now, call.state
         if call.out != 1 or len(call.attempts) >= self.settings.max_attempts:
             return
         if state.hedges < 1 or not self._may_resend(call):
@@ -685,8 +686,7 @@
         if not attempt.waiting or attempt.result >= 0:
             return
         self._not_waiting(attempt)
-        state = self._state(call)
-        state.in_time += IN_TIME_STEP * ((self.now <= call.aim_at) - state.in_time)
+        call.state.in_time += IN_TIME_STEP * ((self.now <= call.aim_at) - call.state.in_time)
         self._learn(attempt, event.took)
         self._learn_room(call, attempt, event.took)
         # Envoy judges an answer when it begins. Judged seconds later, at its end, a busy replica that still
@@ -704,7 +704,7 @@
         if attempt.result >= 0:
             return
         attempt.result = event.result
-        state = self._state(call)
+        state = call.state
         state.out -= 1
         call.out -= 1
         self.out -= 1
@@ -766,11 +766,10 @@
 
     def _choose(self, call: _Call, left: int) -> tuple[_Replica | None, float]:
         """The lower prediction of two random replicas; holders of the prompt's beginning stand beside."""
-        mean = self.out / max(1, len(self.near) + len(self.far))
         # An own stream tells of others there, though not of as many as there are gateways: where each has few, one
         # more or less is chance. Loads that scatter by about their mean make it stand for so many.
         gateways = self.settings.gateways
-        others = gateways * mean
+        others = gateways * self.out / max(1, len(self.near) + len(self.far))
         stands_for = gateways * max(1.0, others) / (gateways + max(1.0, others))
         self.crowding = CROWDING * self.shortest * stands_for / (CROWD_START + others)
         best, time = self._look(call, self.near, None, float("inf"))
