Take classes, tenants and limits at SIGHUP, whole, or refuse them whole by field

Cause: `Program.reload` took the socket limit, discovery and the edge anew, and not what classes and tenants are called or what they ask: a new class was answered as malformed for good, a class in another order was never noticed. Now all of `settings` is taken but zones, machine kinds, the routers' number and the way lists come, which are refused in one line that names the field, and so is a doubled name or a bad value. Fields are named as the document has them. Open requests end under what they began with; what was learned of a class goes with its name. A request of an unknown class gets its 400 as before and is counted by itself (`unknown_class`). Null in a list of one value a class counts as absent.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -713,6 +713,7 @@
         waiting = attempt.waiting
         if waiting:
             self._not_waiting(attempt)
+            state.in_time -= IN_TIME_STEP * state.in_time * (event.result == Result.TIMEOUT)
             if event.result == Result.OK:
                 self._learn(attempt, event.took)
             elif event.took > attempt.predicted and event.result in (Result.TIMEOUT, Result.CANCELLED):
@@ -735,7 +736,6 @@
         elif not call.out:
             call.streaming = False
             if event.result == Result.TIMEOUT:
-                state.in_time -= IN_TIME_STEP * state.in_time
                 if state.retries < 1.0:
                     self._end(call, "retries")
                     return
--- a/pearstall/edge/attach.py
+++ b/pearstall/edge/attach.py
@@ -43,7 +43,7 @@
 
     def reload(self, config: Config) -> None:
         ready = self.edge.front.ready
-        self.edge.reload(config.edge or closed(config.openai))
+        self.edge.reload(config.edge or closed(config.openai), config.names)
         self.edge.front.ready = ready
 
     def leave(self) -> None:
--- a/pearstall/edge/service.py
+++ b/pearstall/edge/service.py
@@ -68,9 +68,9 @@
         device = self.config.keyring.verify(token, self.now())
         return device if device is not None else self._say(DENIED, "")
 
-    def reload(self, config: EdgeConfig) -> None:
-        """New keys, limits and bounds hold for what comes from now on; sessions stay."""
-        self.config = config
+    def reload(self, config: EdgeConfig, names: Names) -> None:
+        """New keys, limits, bounds and classes hold for what comes from now on; sessions stay."""
+        self.config, self.names = config, names
         self.admission.change(config.limits)
         self.sessions.bounds = config.bounds
         self.front = OpenAIFront(config.asks, self.names, self.core.settings)
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -13,7 +13,7 @@
 from pearstall.net.core import Blamed, Core, Query
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadline
-from pearstall.net.http1 import LAST_CHUNK, Body, Head, Malformed, Reply, body_of, chunk, read_head
+from pearstall.net.http1 import LAST_CHUNK, Body, Head, Malformed, Reply, UnknownClass, body_of, chunk, read_head
 from pearstall.net.pending import end_sending, gone, pending
 from pearstall.net.slots import Slots
 
@@ -240,7 +240,10 @@
             # Under one id two queries would be two copies of one to the model servers.
             query = self.front.malformed(Malformed("another query with this id is open", 409))
         if isinstance(query, Reply):
-            self.owner.counters.malformed += 1
+            if isinstance(query, UnknownClass):
+                self.owner.counters.unknown_class += 1
+            else:
+                self.owner.counters.malformed += 1
             self._reply(query)
             return
         self._begin(query)
--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -131,6 +131,8 @@
     except ValueError as error:
         raise ConfigError(str(error)) from None
     names = _decode(bytes(raw.settings), Names, "settings")
+    _check_names("lanes", names.lanes)
+    _check_names("accounts", names.accounts)
     listen = env.get("EDGE_LISTEN") or raw.listen
     discovery = env.get("EDGE_DISCOVERY") or raw.discovery
     if discovery and not settings.subscribe:
@@ -165,6 +167,15 @@
     )
 
 
+def _check_names(field: str, items: list[Named]) -> None:
+    """Under a name that two have, requests would go by the last one's settings."""
+    seen: set[str] = set()
+    for number, item in enumerate(items):
+        if item.name and item.name in seen:
+            raise ConfigError(f"settings.{field}[{number}].name: {item.name!r} is there twice")
+        seen.add(item.name)
+
+
 def _without_nulls(value: Any) -> Any:
     if isinstance(value, dict):
         return {key: _without_nulls(part) for key, part in value.items() if part is not None}
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -4,7 +4,7 @@
 
 import sys
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 from functools import partial
@@ -201,6 +201,11 @@
         self.idle: Callable[[], None] = lambda: None
         self.trace: Trace | None = None
 
+    def reconfigure(self, settings: Settings, classes: Sequence[int], tenants: Sequence[int]) -> None:
+        """For each class and tenant its number before, or -1. Open requests end under what they began with."""
+        self.settings = settings
+        self.router.reconfigure(settings, classes, tenants)
+
     # -- driving the Router --------------------------------------------------------------------------------
 
     def start(self) -> None:
--- a/pearstall/net/counters.py
+++ b/pearstall/net/counters.py
@@ -11,6 +11,7 @@
     client_links: int = 0  # accepted
     queries: int = 0  # taken
     malformed: int = 0  # client input that was no request
+    unknown_class: int = 0  # requests of a class that the settings don't name
     crowded_out: int = 0  # turned off for want of room
     executions: int = 0
     server_links: int = 0  # opened
--- a/pearstall/net/http1.py
+++ b/pearstall/net/http1.py
@@ -84,6 +84,10 @@
         return "\r\n".join([*lines, "", ""]).encode("latin-1") + self.body
 
 
+class UnknownClass(Reply):
+    """To a request whose class is not in the settings: its client's fault, counted by itself."""
+
+
 def read_head(buffer: Buffer, response: bool = False) -> Head | Malformed | None:
     """Takes a whole head from the buffer; None: it has not all come."""
     while not response and buffer.peek(2) == b"\r\n":
--- a/pearstall/net/openai.py
+++ b/pearstall/net/openai.py
@@ -14,7 +14,7 @@
 from pearstall.net.config import Names, OpenAIConfig
 from pearstall.net.core import Answer, Query
 from pearstall.net.events import payloads
-from pearstall.net.http1 import Head, Malformed, Reply
+from pearstall.net.http1 import Head, Malformed, Reply, UnknownClass
 from pearstall.net.platform import HEALTH, LONGEST_WAIT, Labels, PlatformServer, decimal, number_of
 
 CHAT, COMPLETIONS, MODELS = "/v1/chat/completions", "/v1/completions", "/v1/models"
@@ -46,6 +46,11 @@
     return error(status, message, "invalid_request_error", code, **headers)
 
 
+def unknown_class(message: str) -> UnknownClass:
+    told = invalid(message)
+    return UnknownClass(told.status, told.body, told.headers, told.content_type)
+
+
 class OpenAIFront:
     """`make_id`: names an answer whose request had no id."""
 
@@ -58,15 +63,19 @@
     ) -> None:
         self.config = config
         self.make_id = make_id
-        self.lanes = {lane.name: number for number, lane in enumerate(names.lanes)}
-        self.tenants = {account.name: number for number, account in enumerate(names.accounts)}
-        self.lane_names = [lane.name for lane in names.lanes]
-        self.give_up = [klass.give_up / 1e6 for klass in settings.classes]
+        self.adopt(names, settings)
         self.models = config.models or list(config.classes)
         # The platform's servers know a query by the id that its client gave it, and none is made up here.
         self.needs_id = "platform" in (config.server_form, *config.server_forms.values())
         self.ready = False
 
+    def adopt(self, names: Names, settings: Settings) -> None:
+        """What classes and tenants are called, and how long classes wait, from now on."""
+        self.lanes = {lane.name: number for number, lane in enumerate(names.lanes)}
+        self.tenants = {account.name: number for number, account in enumerate(names.accounts)}
+        self.lane_names = [lane.name for lane in names.lanes]
+        self.give_up = [klass.give_up / 1e6 for klass in settings.classes]
+
     def check(self, head: Head) -> Reply | None:
         path = head.path
         if path in (CHAT, COMPLETIONS):
@@ -108,7 +117,7 @@
             headers.get("x-lane") or config.classes.get(wanted.model) or config.default_class, -1
         )
         if lane < 0:
-            return invalid("X-Lane names no class" if "x-lane" in headers else "this model has no class")
+            return unknown_class("X-Lane names no class" if "x-lane" in headers else "this model has no class")
         wait: float | None = config.deadline_s.get(self.lane_names[lane], self.give_up[lane])
         if "x-remaining" in headers:
             wait = decimal(headers["x-remaining"])
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -10,7 +10,7 @@
 
 from pearstall.net.config import Names
 from pearstall.net.core import Answer, Query
-from pearstall.net.http1 import Head, Malformed, Reply
+from pearstall.net.http1 import Head, Malformed, Reply, UnknownClass
 
 PATH = "/v1/chat/completions"
 HEALTH = "/_health"
@@ -76,9 +76,13 @@
 
 class PlatformFront:
     def __init__(self, names: Names) -> None:
+        self.ready = False
+        self.adopt(names)
+
+    def adopt(self, names: Names) -> None:
+        """What classes and tenants are called from now on."""
         self.lanes = {lane.name: number for number, lane in enumerate(names.lanes)}
         self.tenants = {account.name: number for number, account in enumerate(names.accounts)}
-        self.ready = False
 
     def check(self, head: Head) -> Reply | None:
         if head.path == HEALTH:
@@ -98,7 +102,7 @@
         if not txn:
             return self.malformed(Malformed("X-Txn is missing"))
         if lane is None:
-            return self.malformed(Malformed("X-Lane names no class"))
+            return self.unknown_class("X-Lane names no class")
         if wait is None:
             return self.malformed(Malformed("X-Remaining is no number of seconds"))
         try:
@@ -129,6 +133,9 @@
     def malformed(self, why: Malformed) -> Reply:
         return Reply(why.status, why.why.encode() + b"\n", {}, "text/plain")
 
+    def unknown_class(self, why: str) -> Reply:
+        return UnknownClass(400, why.encode() + b"\n", {}, "text/plain")
+
     def refused(self, retry_after: int) -> Reply:
         return Reply(503, b"", {"Retry-After": f"{retry_after / 1e6:.3f}"} if retry_after else {})
 
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -22,6 +22,7 @@
 from pearstall.net.deadlines import Deadlines
 from pearstall.net.openai import OpenAIFront, OpenAIServer
 from pearstall.net.platform import PlatformFront, PlatformServer
+from pearstall.net.reconfigure import Renumbering, renumber
 from pearstall.net.server_link import ServerForm, ServerLinks
 
 if TYPE_CHECKING:
@@ -236,20 +237,37 @@
         """Reads the configuration again, under load. What can't be read changes nothing."""
         try:
             found = read_again(self.config)
+            changed = renumber(self.config, found)
         except ConfigError as error:
             self.counters.reload_failures += 1
             print(f"{error}; the configuration held stays", file=sys.stderr, flush=True)
         else:
             self.counters.reloads += 1
-            self.config = found
-            self.clients.most, self.servers.most = shares(found.limits.sockets)
-            self.cluster.follow(found.discovery)
-            if self.edge is not None:
-                self.edge.reload(found)
+            self._adopt(found, changed)
         if self.config.inventory is not None:
             self.cluster.load(self.config.inventory)
 
 
+    def _adopt(self, found: Config, changed: Renumbering | None) -> None:
+        """A configuration that was read whole and checked: nothing of it can fail any more."""
+        self.config = found
+        if changed is not None:
+            self.core.reconfigure(found.settings, changed.classes, changed.tenants)
+            for front in self.fronts.values():
+                if isinstance(front, OpenAIFront):
+                    front.adopt(found.names, found.settings)
+                else:
+                    front.adopt(found.names)
+            links = found.names.limits
+            self.servers.connect_limit = links.connect_timeout / 1e6
+            self.servers.idle_limit = IDLE_PART * links.conn_idle / 1e6
+        self.clients.most, self.servers.most = shares(found.limits.sockets)
+        self.clients.most_held = int(found.limits.memory_mb * HELD_PART * (1 << 20))
+        self.cluster.follow(found.discovery)
+        if self.edge is not None:
+            self.edge.reload(found)
+
+
 async def run(config: Config, traced: bool = False) -> None:
     program = Program(config)
     if traced:
--- a/pearstall/settings.py
+++ b/pearstall/settings.py
@@ -38,6 +38,12 @@
     "tip_multiple": "tipMultiple",
     "tip_time": "fall",
 }
+# Lists of the family's facts, one value a class.
+FAMILY_KEYS = {
+    "aim_per_1000_tokens": "aimUsPer1000PromptTokens",
+    "token_aim": "tokenAim",
+}
+FIELD_NAMES = {"classes": "lanes", **CLASS_KEYS, **FAMILY_KEYS, **TOP_KEYS, **LIMIT_KEYS, **RULE_KEYS}
 
 
 def settings_from_wire(text: bytes) -> Settings:
@@ -62,18 +68,28 @@
         if all(isinstance(quota, int | float) for quota in quotas):
             values["quota_rate"] = float(sum(quotas))
     family = _section(raw, "familyInfo")
-    by_class = {"aim_per_1000_tokens": "aimUsPer1000PromptTokens", "token_aim": "tokenAim"}
     classes = []
     for number, lane in enumerate(_rows(raw, "lanes")):
         if not isinstance(lane, dict):
             raise ValueError(f"lanes[{number}]: an object is wanted")
         row = _renamed(CLASS_KEYS, lane)
-        for ours, theirs in by_class.items():
-            if number < len(_rows(family, theirs)):
+        for ours, theirs in FAMILY_KEYS.items():
+            if number < len(_rows(family, theirs)) and family[theirs][number] is not None:
                 row[ours] = family[theirs][number]
         classes.append(row)
     values["classes"] = classes
-    return Settings.from_mapping(values)
+    try:
+        return Settings.from_mapping(values)
+    except ValueError as error:
+        raise ValueError(_in_words_of_the_wire(str(error))) from None
+
+
+def _in_words_of_the_wire(message: str) -> str:
+    """The field that a message begins with, as the document names it."""
+    path, colon, rest = message.partition(":")
+    parts = [part.partition("[") for part in path.split(".")]
+    named = ".".join(FIELD_NAMES.get(name, name) + bracket + number for name, bracket, number in parts)
+    return f"settings.{named}{colon}{rest}"
 
 
 def _section(raw: dict[str, Any], key: str) -> dict[str, Any]:
