Bound what is taken for the load that warm servers bear, and test the clients' terms

Slow start, seen in worlds of 16 servers by events: in a burst while half of them hung, 200 gateways sent a starting server 42 calls in two seconds where N + 2 roots + 2 are 31 (1,024 of them: 45 of 37). Cause: `work_borne` is the most that a gateway sent in an interval, to servers that answered or not; where that is a request or two, its maximum lies far above the mean, at each of many gateways. It counts now up to 1.5 times what tenants are due (`quotaRps`), where that is told.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -109,6 +109,7 @@
 LIKELY = 0.75  # the least part of its capacity, to this power, is what a cold replica likely has
 COLD_LOOKS = 64  # cold replicas that a pick asks for their budget at most
 ANEW = 0.5  # a prompt of which more than this part is to be read where it would go, is read at a cold replica as well
+QUOTA_MOST = 1.5  # of what tenants are due: the most that is taken for what warm replicas bear, whatever was sent
 COLD_SAFETY = 0.8  # part of a cold replica's budget that the gateways together may use
 COLD_FLOW = 0.65  # and where each of them has so little of it that it comes by whole requests
 COLD_READY = 1 / 8  # these lapse after this part of tip_time
@@ -352,8 +353,7 @@
         self.quick_most = QUICK_MOST * max(token_aims)  # a burst must not keep load shed long after it
 
     def reconfigure(self, settings: Settings, classes: Sequence[int], tenants: Sequence[int]) -> None:
-        """Other classes, tenants and limits; of each class and tenant its number before, or -1. What is open goes on
-        as its class was, zones and gateways stay."""
+        """Other classes, tenants and limits; for each its number before, or -1. What is open ends as it began."""
         self.states = [self.states[old] if old >= 0 else _ClassState() for old in classes]
         shares = settings.tenant_shares
         self.asked_share = [self.asked_share[old] if old >= 0 else shares[new] for new, old in enumerate(tenants)]
@@ -434,8 +434,7 @@
             self._send(call, replica, predicted, left)
 
     def _due(self, call: _Call) -> bool:
-        """Nothing of its class was sent on for long: whatever was learned against it, one goes. Else that would never
-        be put right, as what a class meets shows in its own answers only."""
+        """Nothing of its class was sent on for long. Then one goes, or what was learned would never be put right."""
         return not call.attempts and self.now - call.state.sent_at > LET_IN * call.klass.give_up
 
     def _hopeless(self, call: _Call, replica: _Replica, predicted: float, left: int) -> str:
@@ -949,7 +948,8 @@
             replica.cold_debt = self.random() * usual
             replica.cold_at = self.now
         quota = settings.quota_rate * usual / (max(1, self.most_ready) * settings.gateways)
-        rate = max(self.work_borne, quota, work * 1e6 / (settings.cold_time * settings.gateways))
+        borne = min(self.work_borne, QUOTA_MOST * quota or self.work_borne)
+        rate = max(borne, quota, work * 1e6 / (settings.cold_time * settings.gateways))
         pace = settings.tip_multiple * rate * self._capacity(replica) / 1e6
         paid = pace * settings.tip_time
         replica.cold_ready = ready = COLD_READY * paid
--- a/tests/net_support.py
+++ b/tests/net_support.py
@@ -214,6 +214,9 @@
             head = "HTTP/1.1 400 Bad\r\nContent-Type: application/json\r\nContent-Length: 18\r\n\r\n"
             writer.write(head.encode() + b'{"error":"no mud"}')
             return True
+        if what == "hold error":
+            await self.go_on.wait()
+            what = "error"
         if what in ("error", "away"):
             status = "500 Oops" if what == "error" else "503 Busy"
             mark = "X-Turned-Away: 1\r\n" if what == "away" and self.form == "platform" else ""
