--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -23,7 +23,12 @@
 
 
 def world(routers: int, *faults: Fault, cold: float = 0.0) -> World:
-    rules: dict[str, Any] = {"tip_multiple": TIP_MULTIPLE, "tip_time": TIP_TIME, "cold_time": COLD_TIME, "cold_share": COLD_SHARE}
+    rules: dict[str, Any] = {
+        "tip_multiple": TIP_MULTIPLE,
+        "tip_time": TIP_TIME,
+        "cold_time": COLD_TIME,
+        "cold_share": COLD_SHARE,
+    }
     return World([LONG, SHORT], faults, routers=routers, servers=16, rate=60.0, seconds=14, cold=cold, **rules)
 
 
