Test how a class may be named on the wire, and in pieces of any size

Blanks, the case of the header's name and bytes one at a time change nothing; a class named twice or in another case is the client's fault.

--- a/tests/test_client_terms.py
+++ b/tests/test_client_terms.py
@@ -177,3 +177,37 @@
             writer.close()
 
     asyncio.run(scene())
+
+
+@pytest.mark.parametrize("header", [b"X-Lane:chat", b"x-lane: \t chat \t", b"X-LANE: chat"])
+@pytest.mark.parametrize("piece", [1, 7, 4096])
+def test_a_class_is_known_by_any_form_of_its_header_in_pieces_of_any_size(
+    header: bytes, piece: int, tmp_path: Path
+) -> None:
+    async def scene() -> None:
+        async with routed(tmp_path) as (server, program, port):
+            reader, writer = await asyncio.open_connection(LOCAL, port)
+            whole = request(1).replace(b"X-Lane: chat", header)
+            for at in range(0, len(whole), piece):
+                writer.write(whole[at : at + piece])
+                await asyncio.sleep(0)
+            assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+            assert len(server.seen) == 1 and program.counters.unknown_class == 0
+            writer.close()
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize(("headers", "unknown"), [(b"X-Lane: chat\r\nX-Lane: agent", 0), (b"X-Lane: CHAT", 1)])
+def test_a_class_named_twice_or_by_another_name_is_the_clients_fault(
+    headers: bytes, unknown: int, tmp_path: Path
+) -> None:
+    async def scene() -> None:
+        async with routed(tmp_path) as (server, program, port):
+            reader, writer = await asyncio.open_connection(LOCAL, port)
+            writer.write(request(1).replace(b"X-Lane: chat", headers))
+            assert (await reader.readline()).startswith(b"HTTP/1.1 400")
+            assert not server.seen and program.counters.unknown_class == unknown
+            writer.close()
+
+    asyncio.run(scene())
