Begin the running median of first tokens at the shortest token aim again

It had begun at the longest one since the settings can be taken anew: with token aims of 8 and 280 ms nine in ten requests were shed for pace before any sample.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -307,7 +307,7 @@
         self.zone_least = [1 << 62] * settings.zones  # the shortest first token from a zone
         self.read_time = 0.0  # that a prompt token takes on an idle replica; 0: no sample yet
         # Running median of first tokens with little to read before them; no alarm before samples.
-        self.quick = self.quick_most / QUICK_MOST
+        self.quick = min((klass.token_aim for klass in settings.classes if klass.token_aim), default=1.0)
         self.quick_at = 0
         self.token_aim = 0.0  # of the usual request here; 0: none of them has one
         self.mean_worth = 0.0  # of what was asked
--- a/tests/test_class_starvation.py
+++ b/tests/test_class_starvation.py
@@ -210,3 +210,11 @@
             gateway.wait(5 * S)
     id, _ = gateway.request(deadline=gateway.now + 5 * S)
     assert gateway.router.calls[id].earn_by == gateway.now + 5 * S
+
+
+def test_nothing_is_shed_before_there_is_a_sample_whatever_the_token_aims() -> None:
+    """The running median began at the longest token aim, far above what the shortest one tolerates."""
+    classes = [{"late_worth": 0.5, "token_aim": aim * MS} for aim in (8, 12, 280)]
+    for seed in range(20):
+        gateway = Gateway(settings(*classes, **FLEET), 20, seed=seed)
+        assert not any(refused(gateway.request(class_index=index)[1]) for index in (0, 1, 2, 0, 1))
