--- a/tests/test_class_starvation.py
+++ b/tests/test_class_starvation.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -218,3 +219,10 @@
     for seed in range(20):
         gateway = Gateway(settings(*classes, **FLEET), 20, seed=seed)
         assert not any(refused(gateway.request(class_index=index)[1]) for index in (0, 1, 2, 0, 1))
+
+
+def test_a_rare_class_without_late_worth_is_answered_where_its_aim_is_never_met() -> None:
+    """Of which a gateway gets one request in a minute or two, and learns nothing in time."""
+    rare = (NO_LATE_WORTH[0], replace(NO_LATE_WORTH[1], share=0.02))
+    _, (ours, simple) = compare([USUAL, rare], routers=200, rate=60.0, seconds=60, tries=1)
+    assert ours.share() > LEAST_SHARE * simple.share()
