Reproduce sends to servers that left while a router was down, listed as failing

A real process with 200 routers in its settings and the last place among them starts with a list in which a server is ready that now drains or is gone. No code of the router is changed; lab/processes.py starts, signals and kills a real router and reads its health.

--- /dev/null
+++ b/tests/test_restart_membership.py
@@ -0,0 +1,73 @@
+"""What a router that starts again does with the list of servers it had, with real processes and signals."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import AsyncExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from pearstall.lab.processes import RouterProcess
+from pearstall.lab.rig import free_ports
+from pearstall.lab.servers import LOCAL, Behaviour, Books, StandIn
+from pearstall.lab.stations import Discovery
+from tests.net_support import Client, setup
+
+ROUTERS = 200
+LAST = ROUTERS - 1  # its first call to discovery comes last
+DRAIN_GRACE_SECONDS = 0.5
+OBLIGATIONS = {"mustAskIn": 10_000_000, "cold": 21_000_000, "coldShare": 0.12, "tipMultiple": 3.0}
+
+
+def row(server: StandIn, status: str) -> dict[str, Any]:
+    return {"name": f"s{server.number}", "address": f"{LOCAL}:{server.port}", "zone": "a", "type": "m1", "group": 0,
+            "status": status, "weight": 1.0, "since_ms": 0}  # fmt: skip
+
+
+async def ask_until(client: Client, kinds: list[str], end: float) -> None:
+    """One request after another, each on a connection that the router keeps or not."""
+    while asyncio.get_running_loop().time() < end:
+        try:
+            kinds.append((await client.ask(2.0))[0])
+        except (AssertionError, OSError):
+            kinds.append("lost")
+            client.close()
+        await asyncio.sleep(0.02)
+
+
+@pytest.mark.parametrize("status", ["draining", "gone"])
+def test_a_restarted_router_sends_nothing_to_servers_that_left_while_it_was_down(status: str, tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            books = Books()
+            fast = Behaviour(first=(0.0, 0.005), events=(2, 3))
+            servers = [
+                await stack.enter_async_context(StandIn(number, books, fast, 1, "platform").listening())
+                for number in range(2)
+            ]
+            discovery = Discovery((LOCAL, free_ports(1)[0]))
+            for server in servers:
+                discovery.put(row(server, "ready"))
+            await discovery.start()
+            known = {"index": discovery.index, "snapshot": True, "endpoints": [row(one, "ready") for one in servers]}
+            settings = setup(groupSize=ROUTERS, me=LAST, obligations=OBLIGATIONS)
+            router = RouterProcess(
+                tmp_path, {"discovery": f"{LOCAL}:{discovery.address[1]}", "known": known, "settings": settings}
+            )
+            stack.callback(router.kill)
+            discovery.put(row(servers[0], status))  # the router is down, and has the list from before
+            router.start()
+            await router.until_listening(20)
+            listening_at = asyncio.get_running_loop().time()
+            kinds: list[str] = []
+            clients = [Client("platform", router.port, f"c{number}-") for number in range(4)]
+            await asyncio.gather(*(ask_until(client, kinds, listening_at + 6.0) for client in clients))
+            executions = [one for made in books.by_txn.values() for one in made]
+            late = [one for one in executions if one.server == 0 and one.began > listening_at + DRAIN_GRACE_SECONDS]
+            assert not late, f"{len(late)} of {len(executions)}, the last {late[-1].began - listening_at:.2f} s late"
+            assert "served" in kinds and "lost" not in kinds
+            assert await router.health() == 200
+
+    asyncio.run(scene())
