Log lists, watches, attempts, refusals, closes and signals as events

Need: the incident's logs were empty, so that neither the age of a router's list nor why a request was refused could be seen. Ids: request, attempt, server name, connection. test_lists reads past other lines to the counters' line.

--- a/pearstall/edge/link.py
+++ b/pearstall/edge/link.py
@@ -10,8 +10,8 @@
 from typing import Protocol
 
 from pearstall.edge.service import Edge
+from pearstall.eventlog import log_exception
 from pearstall.net.buffer import Buffer
-from pearstall.net.client_link import print_error
 from pearstall.net.deadlines import Deadline
 from pearstall.net.pending import end_sending
 from pearstall.net.slots import Slots
@@ -81,7 +81,7 @@
             self.wire.received(self.buffer)
         except Exception as error:  # stops here: no other link is harmed
             self.owner.edge.core.counters.exceptions += 1
-            print_error(error)
+            log_exception(self.owner.edge.core.log, error)
             self.abort()
         if not len(self.buffer):
             self.buffer.rest()
--- a/pearstall/models/client.py
+++ b/pearstall/models/client.py
@@ -14,6 +14,7 @@
 from functools import partial
 from typing import Any, cast
 
+from pearstall.eventlog import SILENT
 from pearstall.models.attempt import Clock
 from pearstall.models.explore import Model, Property
 from pearstall.net.buffer import Buffer
@@ -129,6 +130,7 @@
         self.gone = 0
         self.held = False
         self.odd: list[str] = []
+        self.log = SILENT
 
     def take(self, query: Query) -> int:
         self.taken += 1
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import sys
-import traceback
 from collections.abc import Callable
 from itertools import islice
 from typing import Protocol
 
+from pearstall.eventlog import log_exception
 from pearstall.net.buffer import Buffer
 from pearstall.net.core import Blamed, Core, Query
 from pearstall.net.counters import Counters
@@ -141,6 +140,10 @@
         else:
             self._bad(Malformed("the query has not come whole in time", 408))
 
+    def _log_close(self, why: str) -> None:
+        request = self.query.txn if self.query is not None else ""
+        self.owner.core.log.event("client_connection_closed", connection=self.handle, request=request, why=why)
+
     def _drop_parts(self) -> None:
         self.owner.held -= self.size
         self.parts, self.size = [], 0
@@ -160,13 +163,14 @@
             if len(self.buffer) > MOST_AHEAD:
                 # Nobody sends so much ahead, and paused reading would hide that it has gone. Not closed in the
                 # usual way, which would wait until it has read what it was sent: it may never do so.
+                self._log_close("too much sent ahead")
                 self.abort()
             return
         try:
             self._read()
         except Exception as error:  # stops here: no other link is harmed
             self.owner.counters.exceptions += 1
-            print_error(error)
+            log_exception(self.owner.core.log, error)
             if self.busy or self.closing:
                 self.close()
             else:
@@ -259,6 +263,7 @@
 
     def _bad(self, why: Malformed) -> None:
         self.owner.counters.malformed += 1
+        self._log_close(why.why)
         self._reply(self.front.malformed(why), last=True)
 
     # -- the final answer ----------------------------------------------------------------------------------
@@ -408,11 +413,6 @@
             self.holder.pause(self.query.handle, False)
 
 
-def print_error(error: Exception) -> None:
-    where = traceback.extract_tb(error.__traceback__)[-1]
-    print(f"exception at {where.filename}:{where.lineno}: {type(error).__name__}: {error}", file=sys.stderr)
-
-
 class ClientLinks:
     def __init__(self, core: Core, counters: Counters, most: int) -> None:
         self.core = core
@@ -437,6 +437,7 @@
         self.owing[link] = self.latest
         if len(self.links) > self.most and not self._make_room(link):
             self.counters.crowded_out += 1
+            self.core.log.event("client_connection_closed", connection=link.handle, request="", why="no room")
             link.close()
 
     def _make_room(self, link: ClientLink) -> bool:
--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import sys
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
+from pearstall.eventlog import log_exception
 from pearstall.interface import ListKind, Replica, ReplicaList, State
 from pearstall.net.buffer import Buffer
 from pearstall.net.config import Names
@@ -23,6 +24,7 @@
 
 SILENCE = 2.5  # a watch sends a line every 2 s; without one for so long, or without an answer, it is dead
 LARGEST_LINE = 8 << 20
+MOST_NAMES_LOGGED = 32
 STATES = {"ready": State.READY, "draining": State.DRAINING, "gone": State.GONE}
 
 
@@ -43,6 +45,7 @@
         self.zones = {name: number for number, name in enumerate(names.dcs)}
         self.kinds = {name: number for number, name in enumerate(names.models)}
         self.addresses: dict[int, tuple[str, int]] = {}
+        self.names: dict[int, str] = {}
         self.types: dict[int, str] = {}
         self.draining: set[int] = set()
         self.index = -1
@@ -61,23 +64,40 @@
         if news.index >= 0:
             self.index = news.index
         if kind != ListKind.DELTA:
-            self.addresses, self.types, self.draining = {}, {}, set()
+            self.addresses, self.types, self.names, self.draining = {}, {}, {}, set()
         replicas = [self._replica(host) for host in news.hosts]
         if not (kind == ListKind.DELTA and not replicas):
             self.core.listed(ReplicaList(kind, replicas))
         else:
             self.core.tell(ReplicaList(kind, replicas))
+        self._log_list(news, kind)
         self.told()
 
+    def _log_list(self, news: HostList, kind: int) -> None:
+        if self.core.log.enabled:
+            states = {state: [host.name for host in news.hosts if host.status == state] for state in STATES}
+            self.core.log.event(
+                "server_list",
+                kind=ListKind(kind).name.lower(),
+                index=news.index,
+                servers=len(self.addresses),
+                ready=len(states["ready"]),
+                draining=states["draining"][:MOST_NAMES_LOGGED],
+                gone=states["gone"][:MOST_NAMES_LOGGED],
+                skipped=news.skipped,
+            )
+
     def _replica(self, host: Host) -> Replica:
         id = number_of(host.name)
         where = split_address(host.address)
+        self.names[id] = host.name
         self.draining.discard(id)
         if host.status == "draining":
             self.draining.add(id)
         if host.status == "gone" or where is None:
             self.addresses.pop(id, None)
             self.types.pop(id, None)
+            self.names.pop(id, None)
         else:
             self.addresses[id] = where
             self.types[id] = host.type
@@ -113,9 +133,10 @@
             self.index = -1
             self.subscribe(True)
 
-    def failed(self, watch: WatchLink) -> None:
+    def failed(self, watch: WatchLink, why: str) -> None:
         if watch is self.watch:
             self.watch = None
+            self.core.log.event("watch_ended", why=why, lines=watch.lines_read, silent_ms=watch.silent_ms)
             self.core.listed(ReplicaList(ListKind.FAILED))
 
     # -- an inventory in its place -------------------------------------------------------------------------
@@ -124,7 +145,7 @@
         found = read_inventory(path)
         if isinstance(found, BadList):
             self.core.counters.list_failures += 1
-            print(f"inventory: {found.why}; the list held stays", file=sys.stderr, flush=True)
+            self.core.log.event("inventory_unreadable", why=found.why)
         else:
             self.take(found, ListKind.FULL)
 
@@ -144,16 +165,24 @@
         self.connecting: asyncio.Task[None] | None = None
         self.deadline: Deadline | None = None
         self.closed = False
+        self.lines_read = 0
+        self.heard_at = 0.0
+
+    @property
+    def silent_ms(self) -> int:
+        """Since the last line, or since the call."""
+        return round((self.cluster.core.clock() - self.heard_at) * 1000)
 
     def start(self) -> None:
+        self.cluster.core.log.event("watch_called", discovery=self.address, index=self.cluster.index)
         self._heard()
         self.connecting = asyncio.get_running_loop().create_task(self._connect())
 
     async def _connect(self) -> None:
         try:
             await asyncio.get_running_loop().create_connection(lambda: self, *self.address)
-        except OSError:
-            self.fail()
+        except OSError as error:
+            self.fail(f"connect: {error.strerror or error}")
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -176,11 +205,11 @@
             return
         try:
             if not self._read():
-                self.fail()
+                self.fail("what came is no list, or it has ended")
         except Exception as error:  # stops here: the list held stays
             self.cluster.core.counters.exceptions += 1
-            print(f"watch: {type(error).__name__}: {error}", file=sys.stderr)
-            self.fail()
+            log_exception(self.cluster.core.log, error)
+            self.fail("exception")
 
     def _read(self) -> bool:
         """False: what came is no watch, or it has ended."""
@@ -201,6 +230,7 @@
         self.lines.add(data)
         while (end := self.lines.find(b"\n")) >= 0:
             line = self.lines.take(end + 1)
+            self.lines_read += 1
             self._heard()
             if not self._take_line(line):
                 return False  # what it said is lost: the next watch asks for it from the index held
@@ -230,18 +260,19 @@
     def _heard(self) -> None:
         if self.deadline is not None:
             self.deadline.cancel()
-        self.deadline = self.cluster.core.deadlines.after(SILENCE, self.fail)
+        self.heard_at = self.cluster.core.clock()
+        self.deadline = self.cluster.core.deadlines.after(SILENCE, partial(self.fail, "silent"))
 
     def eof_received(self) -> bool:
         return False
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.fail()
+        self.fail(f"connection lost: {error or 'closed'}")
 
-    def fail(self) -> None:
+    def fail(self, why: str) -> None:
         if not self.closed:
             self.close()
-            self.cluster.failed(self)
+            self.cluster.failed(self, why)
 
     def close(self) -> None:
         self.closed = True
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import sys
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
@@ -11,6 +10,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from pearstall.choice import Router
+from pearstall.eventlog import SILENT, EventLog
 from pearstall.interface import (
     Action,
     Cancel,
@@ -200,6 +200,8 @@
         self.watch: Callable[[bool], None] = lambda on: None
         self.idle: Callable[[], None] = lambda: None
         self.trace: Trace | None = None
+        self.log: EventLog = SILENT
+        self.server_name: Callable[[int], str] = str
 
     def reconfigure(self, settings: Settings, classes: Sequence[int], tenants: Sequence[int]) -> None:
         """For each class and tenant its number before, or -1. Open requests end under what they began with."""
@@ -239,14 +241,36 @@
             elif isinstance(action, Cancel):
                 self._cancel(action)
             elif isinstance(action, Refuse):
+                self._log_end("request_refused", action.request, action.why)
                 self._answer(action.request, partial(_refuse, action.retry_after))
             elif isinstance(action, Fail):
+                self._log_end("request_failed", action.request, action.why)
                 self._answer(action.request, lambda answer: answer.fail(False))
             elif isinstance(action, Subscribe):
                 self.watch(action.on)
             elif isinstance(action, Log):
                 self.counters.logs += 1
-                print(action.text, file=sys.stderr, flush=True)
+                self.log.event("decision", text=action.text)
+
+    # -- logging -------------------------------------------------------------------------------------------
+
+    def _log_end(self, event: str, handle: int, why: str) -> None:
+        query = self.queries.get(handle)
+        if self.log.enabled and query is not None and not query.over:
+            waited = round((self.clock() - query.taken) * 1000)
+            self.log.event(event, request=query.txn, why=why, attempts=len(query.executions), ms=waited)
+
+    def _log_attempt(self, execution: Execution, result: Result, why: str) -> None:
+        if self.log.enabled and result != Result.OK:
+            self.log.event(
+                "attempt_ended",
+                request=execution.query.txn,
+                attempt=execution.number,
+                server=self.server_name(execution.replica),
+                result=result.name.lower(),
+                why=why,
+                ms=round((self.clock() - execution.began) * 1000),
+            )
 
     # -- queries -------------------------------------------------------------------------------------------
 
@@ -302,6 +326,7 @@
         """The Router's own time-outs end before the deadline; what was missed is answered all the same."""
         if not query.over:
             self.counters.overdue += 1
+            self._log_end("request_failed", query.handle, "overdue")
             self._answer(query.handle, lambda answer: answer.fail(True))
             self.tell(ClientGone(query.handle))
 
@@ -442,6 +467,7 @@
         for query in self.queries:
             if query.over or (query.passed and (not resumable or query.taken < late)):
                 continue
+            self._log_end("request_ended", query.handle, "shutdown")
             if query.passed:
                 self.counters.moved += 1
                 self._answer(query.handle, lambda answer: answer.cut())
@@ -473,11 +499,13 @@
                 answer = query.answer
                 query.over = True
                 answer.cut()
-        self._ended(execution, result, end.kept_tokens if isinstance(end, Served) else 0)
+        why = end.why if isinstance(end, Broken) else ""
+        self._ended(execution, result, end.kept_tokens if isinstance(end, Served) else 0, why)
 
-    def _ended(self, execution: Execution, result: Result, kept: int = 0) -> None:
+    def _ended(self, execution: Execution, result: Result, kept: int = 0, why: str = "") -> None:
         query = execution.query
         execution.ended = True
+        self._log_attempt(execution, result, why)
         query.out -= 1
         if execution.timeout is not None:
             execution.timeout.cancel()
--- a/pearstall/net/counters.py
+++ b/pearstall/net/counters.py
@@ -32,6 +32,7 @@
     reloads: int = 0  # of the configuration, and those that found it unreadable
     reload_failures: int = 0
     logs: int = 0
+    log_lines_lost: int = 0  # standard error did not take them
 
     def outcome(self, name: str) -> None:
         self.outcomes[name] = self.outcomes.get(name, 0) + 1
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -5,7 +5,6 @@
 import asyncio
 import signal
 import socket
-import sys
 import time
 import uuid
 from collections.abc import Callable
@@ -13,8 +12,9 @@
 from typing import TYPE_CHECKING, Any
 
 from pearstall import signals
+from pearstall.eventlog import SILENT, DescriptorSink, EventLog, log_exception
 from pearstall.interface import ListKind
-from pearstall.net.client_link import ClientLink, ClientLinks, print_error
+from pearstall.net.client_link import ClientLink, ClientLinks
 from pearstall.net.cluster import Cluster
 from pearstall.net.config import Config, ConfigError, read_again
 from pearstall.net.core import Core
@@ -91,11 +91,14 @@
 class Program:
     """One router. Made inside a running loop."""
 
-    def __init__(self, config: Config, around: Surroundings | None = None) -> None:
+    def __init__(self, config: Config, around: Surroundings | None = None, log: EventLog = SILENT) -> None:
         self.config = config
         self.around = around = around or Surroundings()
         self.loop = asyncio.get_running_loop()
         self.deadlines = Deadlines(self.loop)
+        if log.enabled:
+            log.scheduler = self.deadlines
+        self.log = log
         self.counters = Counters()
         clients, servers = shares(config.limits.sockets)
         limits = config.names.limits
@@ -108,6 +111,7 @@
             self._where,
         )
         self.core = Core(config.settings, config.seed, self.deadlines, self.counters, self.servers)
+        self.core.log = log
         self.servers.core = self.core
         subset = None
         if config.subset:
@@ -116,6 +120,7 @@
             subset = Subset(config.subset, config.name)
         self.cluster = Cluster(self.core, config.names, config.discovery, around.now, subset)
         self.core.watch = self.cluster.subscribe
+        self.core.server_name = lambda replica: self.cluster.names.get(replica, str(replica))
         self.clients = ClientLinks(self.core, self.counters, clients)
         self.clients.most_held = int(config.limits.memory_mb * HELD_PART * (1 << 20))
         self.fronts: dict[tuple[str, int], PlatformFront | OpenAIFront] = {}
@@ -149,6 +154,15 @@
         self.core.trace = Trace(self.deadlines, self.config.name, self.around.now, classes)
 
     async def start(self) -> None:
+        settings = self.config.settings
+        self.log.event(
+            "router_starting",
+            name=self.config.name,
+            router=settings.gateway,
+            routers=settings.gateways,
+            index=self.config.known.index,
+            servers=len(self.config.known.hosts),
+        )
         self.cluster.told = self._listed
         self.core.start()
         if self.config.known.hosts:
@@ -162,6 +176,7 @@
             makers |= self.edge.listeners()
         for (host, port), make in makers.items():
             self.listeners.append(await self.around.listen(make, host, port))
+        self.log.event("router_listening", places=list(makers))
 
     def _where(self, replica: int) -> tuple[tuple[str, int], ServerForm] | None:
         address = self.cluster.addresses.get(replica)
@@ -172,6 +187,8 @@
     def _listed(self) -> None:
         if self.cluster.addresses:
             for front in self.fronts.values():
+                if not front.ready:
+                    self.log.event("router_ready", servers=len(self.cluster.addresses))
                 front.ready = True
             if self.edge is not None:
                 self.edge.ready()
@@ -180,6 +197,7 @@
         """Asked to end: what was taken is answered first, and what still comes meanwhile."""
         if not self.leaving_from:
             self.leaving_from = self.loop.time()
+            self.log.event("shutdown_begins", requests=len(self.core.queries), connections=len(self.clients.links))
             self.deadlines.after(self.invite_after, self.clients.leave)
             if self.edge is not None:
                 self.edge.leave()
@@ -226,12 +244,14 @@
         self.counters.exceptions += 1
         error = context.get("exception")
         if isinstance(error, Exception):
-            print_error(error)
+            log_exception(self.log, error)
 
     def print_counters(self) -> None:
-        print(self.counters.line(), file=sys.stderr, flush=True)
+        self.counters.log_lines_lost = self.log.lost
+        self.log.line(self.counters.line())
         if self.edge is not None:
-            print(self.edge.line(), file=sys.stderr, flush=True)
+            self.log.line(self.edge.line())
+        self.log.flush()
 
     def reload(self) -> None:
         """Reads the configuration again, under load. What can't be read changes nothing."""
@@ -240,9 +260,10 @@
             changed = renumber(self.config, found)
         except ConfigError as error:
             self.counters.reload_failures += 1
-            print(f"{error}; the configuration held stays", file=sys.stderr, flush=True)
+            self.log.event("reload_refused", why=str(error))
         else:
             self.counters.reloads += 1
+            self.log.event("reloaded", discovery=found.discovery)
             self._adopt(found, changed)
         if self.config.inventory is not None:
             self.cluster.load(self.config.inventory)
@@ -269,7 +290,7 @@
 
 
 async def run(config: Config, traced: bool = False) -> None:
-    program = Program(config)
+    program = Program(config, log=EventLog(DescriptorSink()))
     if traced:
         program.traced()
     loop = asyncio.get_running_loop()
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -332,6 +332,6 @@
     asyncio.run(healthy())
     for number in (signal.SIGUSR1, signal.SIGTERM):
         process.send_signal(number)
-        line = process.stderr.readline()
+        line = next(line for line in process.stderr if line.startswith("counters "))
         assert json.loads(line.removeprefix("counters "))["client_links"] == 1
     assert process.wait(timeout=60) == 0
