Use a restarted router's list only once discovery has verified it

Cause: a router starts with the list it last had, of unknown age, took traffic at once, and made its first call to discovery up to 4.2 s later (by its number among 210); a change counts as told 6 s after it was made, also to a router that was down. Ruled out: silent watches, late writes, lists read wrongly (docs/incidents).

Change: choice holds requests until the first list or the first failed call, and calls at once if one comes; /_health answers 200 from then on, so that fronts wait as well. With an inventory nothing is subscribed.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -329,6 +329,7 @@
         self.subscribed = False
         self.asked = 0  # calls since there was a watch
         self.asked_at = 0  # the last of them
+        self.list_verified = not settings.subscribe  # by discovery, or by a call that found it unreachable
         self.ask_at = 0
         self._handlers: dict[type, Any] = {
             Request: self._on_request,
@@ -421,6 +422,9 @@
     def _place(self, call: _Call) -> None:
         """Sends the next attempt of a call that has none out, holds it, or ends it."""
         left = call.earn_by - self.now
+        if not self.list_verified and left > 0 and self.settings.gateways > ASK_TOGETHER:
+            self._hold_for_list(call, left)
+            return
         if left <= 0 or len(call.attempts) >= self.settings.max_attempts or not self._may_resend(call):
             self._end(call, "too late" if left <= 0 else "attempts")
             return
@@ -533,6 +537,13 @@
         step = max(2 * self.settings.tick, self.shortest // 10)
         self.actions.append(SetTimer(max(1, min(step, left)), call.request.id))
 
+    def _hold_for_list(self, call: _Call, left: int) -> None:
+        """The list held at a start is of unknown age: servers on it may have left while this gateway was down. Few
+        gateways call at once when they start, and have the answer before a request is under way."""
+        if not self.asked:
+            self._subscribe()
+        self._hold(call, left)
+
     def _end(self, call: _Call, why: str) -> None:
         """The final answer where none was served."""
         refuse = self._may_refuse(call)
@@ -1239,9 +1250,11 @@
                     self.asked = 0
                 self.subscribed = False
                 self._ask_later()
+                self._verify_list()
             return
         if event.kind != ListKind.CACHED:
             self.subscribed = self.settings.subscribe
+            self.list_verified = True
         if event.kind != ListKind.DELTA:
             named = {entry.id for entry in event.replicas}
             for id in [id for id in self.replicas if id not in named]:
@@ -1265,6 +1278,11 @@
             replica.place = place
         self._rebuild()
 
+    def _verify_list(self) -> None:
+        if not self.list_verified:
+            self.list_verified = True
+            self._rebuild()
+
     def _subscribe(self) -> None:
         self.actions.append(Subscribe())
         self.asked += 1
--- a/pearstall/models/mutants.py
+++ b/pearstall/models/mutants.py
@@ -160,7 +160,7 @@
     Mutant(
         "a snapshot keeps what it doesn't name",
         G + "take",
-        "self.addresses, self.types, self.draining = {}, {}, set()",
+        "self.addresses, self.types, self.names, self.draining = {}, {}, {}, set()",
         "pass",
         "list",
         "changes",
--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -138,6 +138,7 @@
             self.watch = None
             self.core.log.event("watch_ended", why=why, lines=watch.lines_read, silent_ms=watch.silent_ms)
             self.core.listed(ReplicaList(ListKind.FAILED))
+            self.told()
 
     # -- an inventory in its place -------------------------------------------------------------------------
 
--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -137,6 +137,8 @@
     discovery = env.get("EDGE_DISCOVERY") or raw.discovery
     if discovery and not settings.subscribe:
         settings = replace(settings, subscribe=True)  # on sockets no list comes unasked
+    if inventory:
+        settings = replace(settings, subscribe=False)
     try:
         seed = int(raw.seed, 16) if isinstance(raw.seed, str) else raw.seed
     except ValueError:
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -96,8 +96,6 @@
         self.around = around = around or Surroundings()
         self.loop = asyncio.get_running_loop()
         self.deadlines = Deadlines(self.loop)
-        if log.enabled:
-            log.scheduler = self.deadlines
         self.log = log
         self.counters = Counters()
         clients, servers = shares(config.limits.sockets)
@@ -185,7 +183,7 @@
         return address, self.forms.get(self.cluster.types.get(replica, ""), self.form)
 
     def _listed(self) -> None:
-        if self.cluster.addresses:
+        if self.cluster.addresses and self.core.router.list_verified:
             for front in self.fronts.values():
                 if not front.ready:
                     self.log.event("router_ready", servers=len(self.cluster.addresses))
@@ -290,7 +288,9 @@
 
 
 async def run(config: Config, traced: bool = False) -> None:
-    program = Program(config, log=EventLog(DescriptorSink()))
+    log = EventLog(DescriptorSink())
+    program = Program(config, log=log)
+    log.scheduler = program.deadlines
     if traced:
         program.traced()
     loop = asyncio.get_running_loop()
