Go on accepting through shortages of descriptors and memory

Errors of one connection (ECONNABORTED, EPROTO, EHOSTUNREACH ...) were raised into the loop and counted as exceptions. Cause: asyncio's ACCEPT_RETRY_DELAY. net/listener.py accepts itself: it pauses for 20 ms at a shortage and goes on at once after other errors; both are counted (accept_failures) and logged.

--- a/pearstall/lab/world.py
+++ b/pearstall/lab/world.py
@@ -166,7 +166,7 @@
         self.loop, self.random = loop, random
         self.skew = 0.0
 
-    async def listen(self, make: Any, host: str, port: int) -> Any:
+    async def listen(self, make: Any, host: str, port: int, failed: Any) -> Any:
         return await self.loop.create_server(make, host, port)
 
     def now(self) -> float:
--- a/pearstall/net/counters.py
+++ b/pearstall/net/counters.py
@@ -9,6 +9,7 @@
 @dataclass(slots=True)
 class Counters:
     client_links: int = 0  # accepted
+    accept_failures: int = 0
     queries: int = 0  # taken
     malformed: int = 0  # client input that was no request
     unknown_class: int = 0  # requests of a class that the settings don't name
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import signal
-import socket
 import time
 import uuid
 from collections.abc import Callable
@@ -20,6 +19,7 @@
 from pearstall.net.core import Core
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadlines
+from pearstall.net.listener import Closable, Listener, MakeProtocol, bound_socket
 from pearstall.net.openai import OpenAIFront, OpenAIServer
 from pearstall.net.platform import PlatformFront, PlatformServer
 from pearstall.net.reconfigure import Renumbering, renumber
@@ -30,8 +30,6 @@
 
 IDLE_PART = 0.7  # of the time after which a model server closes an idle link
 SPARE_SOCKETS = 64  # listeners, the watch, files, and links that are accepted before others are closed
-WAITING = 1024  # links that the system holds until they are accepted
-AT_ONCE = 8  # accepted in one go: so many are open unseen for each of the turns from accept to another's close
 HELD_PART = 0.15  # of the memory, for the bodies of queries
 CLIENT_PART = 0.5  # of the other sockets
 # Links that clients have are kept for so long: another router may be down just now, and a front that deals
@@ -53,18 +51,15 @@
     return clients, free - clients
 
 
-Make = Callable[[], asyncio.BaseProtocol]
-
 
 class Surroundings:
     """What a program takes from the machine besides its loop's clock; a simulation brings its own."""
 
-    async def listen(self, make: Make, host: str, port: int) -> asyncio.AbstractServer:
+    async def listen(
+        self, make: MakeProtocol, host: str, port: int, failed: Callable[[OSError], None]
+    ) -> Closable:
         """An OSError where the place is taken."""
-        end = _bound(host, port)
-        server = await asyncio.get_running_loop().create_server(make, sock=end, backlog=AT_ONCE)
-        end.listen(WAITING)
-        return server
+        return Listener(make, bound_socket(host, port), failed)
 
     def now(self) -> float:
         """Unix time, in seconds."""
@@ -74,20 +69,6 @@
         return uuid.uuid4().hex
 
 
-def _bound(host: str, port: int) -> socket.socket:
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    # Accepted sockets inherit the protocol's number, and asyncio sets TCP_NODELAY only where it says TCP: with the
-    # default, 0, the kernel held small events back until the client had acknowledged the ones before.
-    end = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
-    try:
-        end.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        end.bind((host, port))
-    except OSError:
-        end.close()
-        raise
-    return end
-
-
 class Program:
     """One router. Made inside a running loop."""
 
@@ -140,7 +121,7 @@
             from pearstall.edge.attach import EdgeSide  # the platform's `run` names no such file
 
             self.edge = EdgeSide(config, self.core, self.clients, around.now)
-        self.listeners: list[asyncio.AbstractServer] = []
+        self.listeners: list[Closable] = []
         self.ended = asyncio.Event()
         self.leaving_from = 0.0
         self.invite_after = INVITE_AFTER
@@ -167,15 +148,19 @@
             self.cluster.take(self.config.known, ListKind.CACHED)
         if self.config.inventory is not None:
             self.cluster.load(self.config.inventory)
-        makers: dict[tuple[str, int], Make] = {
+        makers: dict[tuple[str, int], MakeProtocol] = {
             place: partial(ClientLink, self.clients, front) for place, front in self.fronts.items()
         }
         if self.edge is not None:
             makers |= self.edge.listeners()
         for (host, port), make in makers.items():
-            self.listeners.append(await self.around.listen(make, host, port))
+            self.listeners.append(await self.around.listen(make, host, port, self._accept_failed))
         self.log.event("router_listening", places=list(makers))
 
+    def _accept_failed(self, error: OSError) -> None:
+        self.counters.accept_failures += 1
+        self.log.event("accept_failed", why=error.strerror or str(error))
+
     def _where(self, replica: int) -> tuple[tuple[str, int], ServerForm] | None:
         address = self.cluster.addresses.get(replica)
         if address is None or replica in self.cluster.draining:
