Tell starts of servers by their age, so that a step of the wall clock does not shift them

Found while looking for the same mistake, a time taken once and trusted for good: the difference between Unix time and the router's clock was taken at the start of the process. After a step of an hour a server that starts was told as started an hour ago (warm at once, against slow start) or in an hour (cold for an hour). Change: net/start_times.py reads the wall clock when a start is new, keeps it when it is told again, takes no start as later than now, and none as older than the time since discovery had nothing to tell plus 10 s for a late list.

--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -18,6 +18,7 @@
 from pearstall.net.http1 import Body, Malformed, body_of, read_head
 from pearstall.net.inventory import BadList, Host, HostList, read_host_list, read_inventory, split_address
 from pearstall.net.platform import number_of
+from pearstall.net.start_times import StartTimes
 
 if TYPE_CHECKING:
     from pearstall.net.subset import Subset
@@ -29,7 +30,7 @@
 
 
 class Cluster:
-    """`now`: Unix time, in seconds; only the difference to the core's clock is taken from it, once."""
+    """`now`: Unix time, in seconds; it may be stepped, and tells only how long ago a server started."""
 
     def __init__(
         self,
@@ -49,8 +50,7 @@
         self.types: dict[int, str] = {}
         self.draining: set[int] = set()
         self.index = -1
-        # One offset for the whole run: a start told twice must come out as the same time both times.
-        self.offset = core.clock() - now()
+        self.starts = StartTimes(core.clock, now)
         self.watch: WatchLink | None = None
         self.told: Callable[[], None] = lambda: None
 
@@ -70,6 +70,8 @@
             self.core.listed(ReplicaList(kind, replicas))
         else:
             self.core.tell(ReplicaList(kind, replicas))
+        if kind != ListKind.CACHED:
+            self.starts.heard()
         self._log_list(news, kind)
         self.told()
 
@@ -101,9 +103,7 @@
         else:
             self.addresses[id] = where
             self.types[id] = host.type
-        started = 0
-        if host.since_ms:
-            started = max(1, int((host.since_ms / 1000 + self.offset) * 1e6))
+        started = self.starts.started(id, host.since_ms)
         return Replica(
             id,
             self.zones.get(host.zone, len(self.zones)),
@@ -167,6 +167,7 @@
         self.deadline: Deadline | None = None
         self.closed = False
         self.lines_read = 0
+        self.answered = False  # with a list, or with what changed since the index asked for
         self.heard_at = 0.0
 
     @property
@@ -233,6 +234,8 @@
             line = self.lines.take(end + 1)
             self.lines_read += 1
             self._heard()
+            if self.answered and not line.strip():
+                self.cluster.starts.heard()  # nothing has changed
             if not self._take_line(line):
                 return False  # what it said is lost: the next watch asks for it from the index held
             if self.closed:
@@ -255,6 +258,7 @@
         if isinstance(news, BadList):
             return False
         self.unfinished = b""
+        self.answered = True
         self.cluster.take(news, ListKind.FULL if news.snapshot else ListKind.DELTA)
         return True
 
