Call discovery again at once where the first call fails within half a second

Found beside the incident: after a lost watch or at a start one connect that fails (EADDRNOTAVAIL, ENOBUFS, a reset) counted as 'discovery is down', and the next call came 2.5 to 4.5 s later; with the 2.5 s to notice a silent watch that is over the 6 s after which changes count as told, and at a start the old list was used meanwhile. A first call that fails within 0.5 s is now made again after 0.25 s, and only the second failure verifies the list of a start. The test failed before: the failed call verified the list, and the request was sent.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -139,6 +139,8 @@
 ASK_LOST = 5 / 12  # when watches end; to notice that one has fallen silent takes as long
 ASK_AGAIN = 3 / 4  # and while calls fail, however long: one falls into this time whenever discovery comes back
 ASK_JITTER = 0.05
+ASK_FAILED_FAST = 500_000  # microseconds: a first call that fails sooner may have met a passing fault, and is
+ASK_REPEAT = 250_000  # made again after this
 ASK_AGENT = 50_000  # where each gateway has an agent of its own, a lost watch is opened anew after this
 ASK_AGENT_MOST = 250_000  # doubled while that fails, up to this
 SUBSCRIBE_TAG = 1 << 60  # timer tags below this are request ids
@@ -1249,8 +1251,11 @@
                 if self.subscribed:
                     self.asked = 0
                 self.subscribed = False
-                self._ask_later()
-                self._verify_list()
+                if self.asked == 1 and self.now - self.asked_at < ASK_FAILED_FAST and not self.settings.pushed:
+                    self._ask_in(ASK_REPEAT)
+                else:
+                    self._ask_later()
+                    self._verify_list()
             return
         if event.kind != ListKind.CACHED:
             self.subscribed = self.settings.subscribe
--- a/pearstall/lab/fault_shim.py
+++ b/pearstall/lab/fault_shim.py
@@ -104,8 +104,9 @@
         self.injector.maybe_raise(self.injector.faults.interrupt, (errno.EINTR,))
         if self.family != socket.AF_UNIX:
             self.injector.maybe_raise(self.injector.faults.send, SEND_ERRORS)
-        view = memoryview(data).cast("B")
-        return super().send(view[: self.injector.shortened(view.nbytes)], flags)
+        size = self.injector.shortened(len(data))
+        # A view held here would bar asyncio from clearing its buffer while it handles an error of this call.
+        return super().send(data if size == len(data) else bytes(data[:size]), flags)
 
 
 def step_wall_clock(steps: list[tuple[float, float]]) -> None:
--- a/tests/test_restart_membership.py
+++ b/tests/test_restart_membership.py
@@ -9,11 +9,14 @@
 
 import pytest
 
+from pearstall.choice import SUBSCRIBE_TAG, Router
+from pearstall.interface import ListKind, Replica, ReplicaList, Request, Send, SetTimer, State, Subscribe, Timer
 from pearstall.lab.processes import RouterProcess
 from pearstall.lab.rig import free_ports
 from pearstall.lab.servers import LOCAL, Behaviour, Books, StandIn
 from pearstall.lab.stations import Discovery
 from tests.net_support import Client, setup
+from tests.support import MS, S, settings
 
 ROUTERS = 200
 LAST = ROUTERS - 1  # its first call to discovery comes last
@@ -71,3 +74,20 @@
             assert await router.health() == 200
 
     asyncio.run(scene())
+
+
+def test_a_first_call_that_fails_at_once_is_made_again_before_the_old_list_is_used() -> None:
+    replicas = [Replica(1, 0, 0, State.READY)]
+    router = Router(settings(gateways=ROUTERS, gateway=0, subscribe=True, must_ask_in=10 * S), seed=1)
+    router.start(0)
+    router.handle(0, ReplicaList(ListKind.CACHED, replicas))
+    called_at = 100 * MS
+    assert Subscribe() in router.handle(called_at, Timer(SUBSCRIBE_TAG))
+    (again,) = router.handle(called_at + MS, ReplicaList(ListKind.FAILED))
+    assert isinstance(again, SetTimer) and again.delay < 500 * MS and not router.list_verified
+    held = router.handle(called_at + 2 * MS, Request(1, 0, called_at + 5 * S, 50.0))
+    assert not any(isinstance(action, Send) for action in held)
+    called_again_at = called_at + MS + again.delay
+    assert Subscribe() in router.handle(called_again_at, Timer(SUBSCRIBE_TAG))
+    sent = router.handle(called_again_at + MS, ReplicaList(ListKind.FAILED))  # nobody can be reached there
+    assert router.list_verified and any(isinstance(action, Send) for action in sent)
