--- a/pearstall/lab/fault_shim.py
+++ b/pearstall/lab/fault_shim.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import errno
+import io
 import os
 import runpy
 import socket
@@ -32,6 +33,7 @@
 SOCKET_ERRORS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 RECEIVE_ERRORS = (errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH)
 SEND_ERRORS = (errno.EPIPE, errno.ECONNRESET, errno.ETIMEDOUT, errno.EHOSTUNREACH)
+FILE_ERRORS = (errno.EIO, errno.EINTR, errno.ENFILE)
 LOG_ERRORS = (errno.ENOSPC, errno.EIO, errno.EAGAIN)
 STANDARD_ERROR = 2
 
@@ -49,6 +51,9 @@
     interrupt: float = 0.0  # EINTR from recv and send: nothing is lost, the call is to be made again
     short: float = 0.0  # one byte is read or written where more would go
     log: float = 0.0
+    bind_failures: int = 0  # of the first calls, as while the process before holds the address
+    file_failures: int = 0  # of the first reads of a configuration (.json) before it listens
+    reload_failures: int = 0  # and after that
     clock_steps: list[tuple[float, float]] = []  # seconds since the start, and by how much the wall clock jumps then
 
 
@@ -59,12 +64,22 @@
         self.faults = faults
         self.random = Random(faults.seed)
         self.active = False
+        self.binds = 0
+        self.failed_files = {False: 0, True: 0}  # before it listens, and after
 
     def maybe_raise(self, chance: float, numbers: Sequence[int]) -> None:
         if self.active and chance and self.random.random() < chance:
             number = self.random.choice(numbers)
             raise OSError(number, os.strerror(number))
 
+    def fail_file(self) -> None:
+        limit = self.faults.reload_failures if self.active else self.faults.file_failures
+        failed = self.failed_files[self.active]
+        if failed < limit:
+            self.failed_files[self.active] += 1
+            number = FILE_ERRORS[failed % len(FILE_ERRORS)]
+            raise OSError(number, os.strerror(number))
+
     def shortened(self, size: int) -> int:
         if self.active and size > 1 and self.random.random() < self.faults.short:
             return 1
@@ -81,6 +96,12 @@
             self.injector.maybe_raise(self.injector.faults.make_socket, SOCKET_ERRORS)
         super().__init__(family, type, proto, fileno)
 
+    def bind(self, address: Any, /) -> None:
+        if self.injector.binds < self.injector.faults.bind_failures:
+            self.injector.binds += 1
+            raise OSError(errno.EADDRINUSE, os.strerror(errno.EADDRINUSE))
+        super().bind(address)
+
     def listen(self, *backlog: int) -> None:
         super().listen(*backlog)
         self.injector.active = True
@@ -131,6 +152,17 @@
     os.write = write
 
 
+def fail_file_reads(injector: Injector) -> None:
+    real = io.open
+
+    def open_(file: Any, *arguments: Any, **named: Any) -> Any:
+        if str(file).endswith(".json"):
+            injector.fail_file()
+        return real(file, *arguments, **named)
+
+    io.open = open_
+
+
 def main() -> None:
     faults = msgspec.json.decode(sys.argv[1], type=Faults)
     injector = Injector(faults)
@@ -138,6 +170,7 @@
     socket.socket = FaultySocket  # type: ignore[misc]
     if faults.clock_steps:
         step_wall_clock(faults.clock_steps)
+    fail_file_reads(injector)
     if faults.log:
         fail_log_writes(injector)
     sys.argv = ["pearstall", *sys.argv[3:]]
--- a/pearstall/net/config.py
+++ b/pearstall/net/config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import errno
 import os
 from collections.abc import Mapping
 from dataclasses import replace
@@ -19,11 +20,18 @@
     from pearstall.edge.settings import EdgeConfig
 
 T = TypeVar("T")
+PASSING_ERRORS = frozenset(
+    {errno.EIO, errno.EINTR, errno.EAGAIN, errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ESTALE, errno.ETIMEDOUT}
+)
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 
 
 class ConfigError(Exception):
-    """One line for people."""
+    """One line for people. `passing`: the file could not be read just now, and may be in a moment."""
+
+    def __init__(self, text: str, passing: bool = False) -> None:
+        super().__init__(text)
+        self.passing = passing
 
 
 class Named(msgspec.Struct):
@@ -232,7 +240,7 @@
     try:
         return Path(path).read_bytes()
     except OSError as error:
-        raise ConfigError(f"{path}: {error.strerror}") from None
+        raise ConfigError(f"{path}: {error.strerror}", error.errno in PASSING_ERRORS) from None
 
 
 def _decode(data: bytes, kind: type[T], what: str) -> T:
--- a/pearstall/net/listener.py
+++ b/pearstall/net/listener.py
@@ -16,6 +16,10 @@
 ACCEPTED_AT_ONCE = 8  # so many are open unseen in each of the turns between an accept and another's close
 SHORTAGE_PAUSE_SECONDS = 0.02
 SHORTAGES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+# Of a start: the process before may not be gone yet, and its address with it.
+START_ERRORS = SHORTAGES | {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EINTR, errno.EAGAIN}
+START_ATTEMPTS = 30
+START_PAUSE_SECONDS = 0.1
 
 MakeProtocol = Callable[[], asyncio.BaseProtocol]
 
@@ -27,7 +31,6 @@
 
 
 def bound_socket(host: str, port: int) -> socket.socket:
-    """An OSError where the place is taken."""
     family = socket.AF_INET6 if ":" in host else socket.AF_INET
     # Accepted sockets inherit the protocol's number, and asyncio sets TCP_NODELAY only where it says TCP: with the
     # default, 0, the kernel held small events back until the client had acknowledged the ones before.
@@ -43,6 +46,21 @@
     return end
 
 
+async def open_listener(
+    make: MakeProtocol, host: str, port: int, failed: Callable[[OSError], None]
+) -> Listener:
+    """An OSError where the place stays taken."""
+    for attempt in range(START_ATTEMPTS):
+        try:
+            return Listener(make, bound_socket(host, port), failed)
+        except OSError as error:
+            if error.errno not in START_ERRORS or attempt == START_ATTEMPTS - 1:
+                raise
+            failed(error)
+            await asyncio.sleep(START_PAUSE_SECONDS)
+    raise AssertionError("unreachable")
+
+
 class Listener:
     """`failed` is told of each accept that failed."""
 
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -19,7 +19,7 @@
 from pearstall.net.core import Core
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadlines
-from pearstall.net.listener import Closable, Listener, MakeProtocol, bound_socket
+from pearstall.net.listener import Closable, MakeProtocol, open_listener
 from pearstall.net.openai import OpenAIFront, OpenAIServer
 from pearstall.net.platform import PlatformFront, PlatformServer
 from pearstall.net.reconfigure import Renumbering, renumber
@@ -41,6 +41,8 @@
 KILLED_AFTER = 3.0
 MOVE_AFTER = 2.75  # streams are handed on, where other routers take what comes
 LATE = 0.5  # what came so long after SIGTERM must be answered before the program is killed
+RELOAD_ATTEMPTS = 12  # while the file can't be read for a reason that passes
+RELOAD_PAUSE_SECONDS = 0.25
 HASTE = 0.2  # past that deadline, what is still owed is ended, with half a second to spare
 
 
@@ -59,7 +61,7 @@
         self, make: MakeProtocol, host: str, port: int, failed: Callable[[OSError], None]
     ) -> Closable:
         """An OSError where the place is taken."""
-        return Listener(make, bound_socket(host, port), failed)
+        return await open_listener(make, host, port, failed)
 
     def now(self) -> float:
         """Unix time, in seconds."""
@@ -236,12 +238,16 @@
             self.log.line(self.edge.line())
         self.log.flush()
 
-    def reload(self) -> None:
+    def reload(self, attempts: int = RELOAD_ATTEMPTS) -> None:
         """Reads the configuration again, under load. What can't be read changes nothing."""
         try:
             found = read_again(self.config)
             changed = renumber(self.config, found)
         except ConfigError as error:
+            if error.passing and attempts > 1:
+                self.log.event("reload_put_off", why=str(error))
+                self.deadlines.after(RELOAD_PAUSE_SECONDS, partial(self.reload, attempts - 1))
+                return
             self.counters.reload_failures += 1
             self.log.event("reload_refused", why=str(error))
         else:
