--- a/pearstall/lab/soak.py
+++ b/pearstall/lab/soak.py
@@ -33,6 +33,8 @@
 from pearstall.net.http1 import Head, Malformed, body_of, read_head
 
 SERVERS = 5
+LEAVING = 2  # it drains or goes once, and does not come back; the ones before it stay
+FIRST_OF_CHANGING = 3
 CLIENTS = 12
 CROWD = 150  # idle clients, against 64 descriptors for all
 MOST_ATTEMPTS = 3
@@ -43,6 +45,7 @@
 KILL_SECONDS = LONGEST_DEADLINE + 0.7  # after SIGTERM
 OWED_SECONDS = 0.7  # after SIGTERM: what came by then is answered before the kill
 READY_SECONDS = 10.0
+LONGEST_OUTAGE = 4.0
 KINDS = ("plain", "syscalls", "sockets", "clock", "log", "crowd")
 FAULTS = {
     "plain": Faults(),
@@ -180,6 +183,7 @@
         self.running = True
         self.closed_to_new = False
         self.left: dict[int, list[tuple[float, float]]] = {}  # by server: when it was told to drain, and when back
+        self.back_at: list[float] = []  # when discovery could be reached again
         self.stops: list[tuple[float, float]] = []  # of a router: asked to end (or killed), and dead
 
     async def play(self) -> Report:
@@ -208,7 +212,7 @@
 
     def _ways(self, number: int) -> dict[str, float]:
         bad = self.random.choice(("error", "reset", "silent", "break", "away"))
-        return {"serve": 1.0} if number < 2 else {"serve": 0.8, bad: 0.2}
+        return {"serve": 1.0} if number < LEAVING else {"serve": 0.8, bad: 0.2}
 
     def _row(self, number: int, status: str) -> dict[str, Any]:
         address = f"{LOCAL}:{self.servers[number].port}"
@@ -216,7 +220,8 @@
                 "weight": 1.0, "since_ms": 0}  # fmt: skip
 
     def _config(self) -> dict[str, Any]:
-        settings = platform_settings(membershipMode="subscribe", groupSize=self.random.choice((1, 4, 200)), me=0)
+        routers = self.random.choice((1, 4, 200))
+        settings = platform_settings(groupSize=routers, me=self.random.randrange(routers))
         known = {"index": self.discovery.index, "snapshot": True, "endpoints": list(self.discovery.rows.values())}
         limits = {"sockets": 128 if self.kind == "crowd" else 1024}
         return {"discovery": f"{LOCAL}:{self.discovery.address[1]}", "known": known, "settings": settings,
@@ -256,9 +261,12 @@
 
     async def _change_lists(self) -> None:
         loop = asyncio.get_running_loop()
+        leaves_at = loop.time() + self.random.uniform(0.5, 4.0)
         while True:
             await asyncio.sleep(self.random.uniform(0.3, 1.5))
-            number = self.random.randrange(2, SERVERS)  # two stay
+            number = self.random.randrange(FIRST_OF_CHANGING, SERVERS)
+            if LEAVING not in self.left and loop.time() > leaves_at:
+                number = LEAVING
             state = self.discovery.rows.get(f"s{number}", {"status": "gone"})["status"]
             status = self.random.choice(("draining", "gone")) if state == "ready" else "ready"
             self.discovery.put(self._row(number, status))
@@ -268,8 +276,20 @@
                 spans[-1] = (spans[-1][0], loop.time())
             elif state == "ready":
                 spans.append((loop.time(), float("inf")))
-            if self.random.random() < 0.2:
-                self.discovery.restart()  # every watch is reset
+            await self._trouble_discovery()
+
+    async def _trouble_discovery(self) -> None:
+        trouble = self.random.random()
+        if trouble < 0.15:
+            self.discovery.restart()  # every watch is reset
+        elif trouble < 0.3:
+            self.discovery.mute()
+        elif trouble < 0.4:
+            self.discovery.up = False
+            self.discovery.restart()
+            await asyncio.sleep(self.random.uniform(0.5, LONGEST_OUTAGE))
+            self.discovery.up = True
+            self.back_at.append(asyncio.get_running_loop().time())
 
     async def _signals(self) -> None:
         """Reloads in a row; SIGTERM, sometimes twice or with a reload, and SIGKILL as early as it may come."""
@@ -307,7 +327,7 @@
         self.router.config["known"] = {
             "index": self.discovery.index, "snapshot": True, "endpoints": list(self.discovery.rows.values())
         }  # fmt: skip
-        await asyncio.sleep(self.random.uniform(0.0, 1.0))  # the list changes while the router is down
+        await asyncio.sleep(self.random.choice((0.2, 1.0, 4.0)))  # the list changes while the router is down
         self.router.start()
         self.report.restarts += 1
         await self._ready()
@@ -351,7 +371,8 @@
             self._breach(f"{made.txn} got no answer in {made.ended - made.sent:.2f} s")
 
     def _check_drain(self, txn: str, server: int, began: float) -> None:
-        for told, back in self.left.get(server, []):
+        for made, back in self.left.get(server, []):
+            told = max([made] + [at for at in self.back_at if at < made + TOLD_SECONDS + LONGEST_OUTAGE])
             if told + TOLD_SECONDS + DRAIN_SECONDS < began < back:
                 self._breach(f"{txn} went to s{server} {began - told:.2f} s after its drain was made known")
 
--- a/pearstall/lab/stations.py
+++ b/pearstall/lab/stations.py
@@ -279,6 +279,11 @@
             return {"index": self.index, "snapshot": False, "endpoints": rows}
         return {"index": self.index, "snapshot": True, "endpoints": list(self.rows.values())}
 
+    def mute(self) -> None:
+        """All open watches fall silent, and nobody is told; new ones are answered."""
+        for watch in self.watches:
+            watch.muted = True
+
     def restart(self, reset_index: bool = False) -> None:
         for watch in list(self.watches):
             if watch.transport is not None:
@@ -293,6 +298,7 @@
         self.transport: asyncio.Transport | None = None
         self.data = b""
         self.beat: asyncio.TimerHandle | None = None
+        self.muted = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -314,13 +320,13 @@
         self._beat()
 
     def tell(self, news: dict[str, Any]) -> None:
-        if self.transport is not None and not self.owner.silent:
+        if self.transport is not None and not self.owner.silent and not self.muted:
             line = json.dumps(news).encode() + b"\n"
             self.transport.write(b"%x\r\n%b\r\n" % (len(line), line))
 
     def _beat(self) -> None:
         if self.transport is not None and not self.transport.is_closing():
-            if not self.owner.silent:
+            if not self.owner.silent and not self.muted:
                 self.transport.write(b"1\r\n\n\r\n")
             self.beat = asyncio.get_running_loop().call_later(2.0, self._beat)
 
