--- a/review/half_requests.py
+++ b/review/half_requests.py
@@ -1,12 +1,13 @@
 """Bad clients: each sends most of a long head, stops for a moment, sends its end and half of a body, and stays.
 
-half_requests.py PORT CLIENTS distinct|same
+half_requests.py PORT CLIENTS distinct|same TIMES
 
 The header lines have distinct names, or are one line over and over.
 """
 
 from __future__ import annotations
 
+import contextlib
 import itertools
 import select
 import socket
@@ -37,14 +38,18 @@
     return "".join([*parts, "\r\n{"]).encode()
 
 
-def main(port: int, clients: int, lines: str) -> None:
-    requests = [half_request(number, lines) for number in range(clients)]
+def send(link: socket.socket, data: bytes) -> None:
+    with contextlib.suppress(OSError):  # the router has ended the connection
+        link.sendall(data)
+
+
+def play(port: int, requests: list[bytes]) -> None:
     links = [socket.create_connection(("127.0.0.1", port)) for _ in requests]
     for link, request in zip(links, requests, strict=True):
-        link.sendall(request[:-HELD_BACK_BYTES])
+        send(link, request[:-HELD_BACK_BYTES])
     time.sleep(STOP_SECONDS)
     for link, request in zip(links, requests, strict=True):
-        link.sendall(request[-HELD_BACK_BYTES:])
+        send(link, request[-HELD_BACK_BYTES:])
     end = time.monotonic() + STAY_SECONDS
     while links and time.monotonic() < end:  # they read what they are sent
         for link in select.select(links, [], [], 0.1)[0]:
@@ -53,8 +58,17 @@
             except OSError:
                 ended = True
             if ended:
+                link.close()
                 links.remove(link)
+    for link in links:
+        link.close()
+
+
+def main(port: int, clients: int, lines: str, times: int) -> None:
+    requests = [half_request(number, lines) for number in range(clients)]
+    for _ in range(times):  # the same again, as soon as it is turned away
+        play(port, requests)
 
 
 if __name__ == "__main__":
-    main(int(sys.argv[1]), int(sys.argv[2]), sys.argv[3])
+    main(int(sys.argv[1]), int(sys.argv[2]), sys.argv[3], int(sys.argv[4]))
--- a/review/rig.py
+++ b/review/rig.py
@@ -475,9 +475,9 @@
 # -- a case ------------------------------------------------------------------------------------------------
 
 
-def start_stand_in(script: Path, *arguments: object) -> subprocess.Popen[bytes]:
+def start_stand_in(record: Record, script: Path, *arguments: object) -> subprocess.Popen[bytes]:
     """A stand-in in a process of its own, so that what it does takes no time from the others."""
-    process = subprocess.Popen([sys.executable, "-B", str(script), *map(str, arguments)])
+    process = subprocess.Popen([sys.executable, "-B", str(script), *map(str, arguments)], stderr=record.file)
     PROCESSES.append(process)
     return process
 
@@ -501,13 +501,13 @@
 async def sound_clients(
     router: Router, record: Record, count: int, seconds: float, pause: float = 0.2, patience: float = 10.0
 ) -> list[Ask]:
-    """Clients that ask one request after another, with a try's share (40 to 55%) of their class's give-up time."""
+    """Clients that ask one request after another, each try for 40% of its give-up time."""
     asked: list[Ask] = []
     end = time.monotonic() + seconds
 
     async def one(number: int) -> None:
         client = Client(router, record)
-        lane, wait = ("agent", 2.8) if number % 2 else ("chat", 1.4)
+        lane, wait = ("agent", 2.4) if number % 2 else ("chat", 1.2)
         await asyncio.sleep(pause * number / count)
         while time.monotonic() < end:
             asked.append(await client.ask(lane, wait, session=f"e{number}", patience=patience))
@@ -523,9 +523,14 @@
     record = Record(folder / "record.txt")
     temporary = Path(tempfile.mkdtemp(prefix="pearstall-review-"))
 
+    def ended(*_: object) -> None:
+        raise SystemExit(COULD_NOT_RUN)  # by a signal: what was started is ended below
+
     async def limited() -> int:
         return await asyncio.wait_for(case(temporary, record), limit)
 
+    signal.signal(signal.SIGTERM, ended)
+
     try:
         result = asyncio.run(limited())
     except Exception as error:  # the case itself failed: nothing is said of the rule
