Review case 3: a refused first call makes a restarted router trust its old list

Cause: a first call to discovery that waits and is refused counts as discovery out of reach, and the list of a start as current.

Two of eight model servers drain while the router is down for 7 s; its first call waits too long and gets 503.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,12 +1,11 @@
-"""Lists laid out as the protocol page prints them: the router never learns that model servers drain."""
+"""A restarted router whose first call to discovery is refused takes its old list for current."""
 
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
+import time
 from pathlib import Path
-from typing import Any
 
 HERE = Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
@@ -14,69 +13,80 @@
 from rig import (  # noqa: E402
     BROKEN,
     HELD,
-    Attempt,
     Discovery,
-    Message,
     ModelServer,
     Record,
     Router,
     disrupted,
     play,
+    read_message,
     site_settings,
     sound_clients,
-    stream_answer,
 )
 
 SERVERS, DRAINING = 8, 2  # a quarter of the model servers
-TOLD_SECONDS = 6.0  # a change counts as told this long after discovery had it, whether it arrived or not
+DOWN_SECONDS = 7.0
+WAIT_SECONDS = 1.0  # a call that waits longer than this fails with 503 (the site file's `timeout_ms`)
+SERVED_AFTER_SECONDS = 0.9  # the second call waits its turn, not too long
+TOLD_SECONDS = 6.0  # a change counts as told this long after discovery had it and could be reached
 GRACE_SECONDS = 0.5 + 0.05  # every time limit is 50 ms longer on sockets
-SECONDS = 28.0
-DRAIN_AT = 6.0
+ASKING_SECONDS = 6.0
 
 
-def as_printed(message: dict[str, Any]) -> bytes:
-    """The layout of the protocol page: each entry on a line of its own, indented, the end behind the last one."""
-    entries = ",\n  ".join(json.dumps(entry, separators=(",", ":")) for entry in message["endpoints"])
-    snapshot = json.dumps(message["snapshot"])
-    return f'{{"index":{message["index"]},"snapshot":{snapshot},"endpoints":[\n  {entries}]}}'.encode()
+class CrowdedDiscovery(Discovery):
+    """Handles calls one after another. While it is crowded, the first call of the router waits too long."""
 
+    crowded = False
+    calls_in_crowd = 0
 
-async def serve(server: ModelServer, message: Message, attempt: Attempt, writer: asyncio.StreamWriter) -> bool:
-    """A server that drains turns new requests away."""
-    if not server.draining:
-        return await stream_answer(server, message, attempt, writer)
-    writer.write(b"HTTP/1.1 503 Service Unavailable\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n")
-    attempt.end = "turned away"
-    return True
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.crowded:
+            self.calls_in_crowd += 1
+            if self.calls_in_crowd == 1:
+                await read_message(reader)
+                await asyncio.sleep(WAIT_SECONDS)
+                self.record.line("discovery refuses a call that has waited too long")
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                writer.close()
+                return
+            await asyncio.sleep(SERVED_AFTER_SECONDS)
+        await super()._connection(reader, writer)
 
 
 async def case(folder: Path, record: Record) -> int:
     servers = [ModelServer(f"s-{n}", record, "gent" if n % 2 else "antwerpen") for n in range(SERVERS)]
-    discovery = Discovery(record)
-    discovery.form = as_printed
-    await discovery.start()
     for server in servers:
-        server.serve = serve
         await server.start()
+    discovery = CrowdedDiscovery(record)
+    await discovery.start()
     discovery.add(*servers)
     router = Router(folder, "n0", discovery.port, site_settings(), discovery.snapshot())
     router.start()
     if not await router.ready():
         raise RuntimeError("the router is not ready after 30 s")
-    asking = asyncio.create_task(sound_clients(router, record, 10, SECONDS))
-    await asyncio.sleep(DRAIN_AT)
-    drained_at = 0.0
-    leaving = servers[:DRAINING]
+    await sound_clients(router, record, 10, 2.0)
+    drained_at, leaving = 0.0, servers[:DRAINING]
     if disrupted():
+        record.line("the router is killed")
+        router.stop()
+        await asyncio.sleep(0.2)
         drained_at = discovery.change(*(server.entry("draining") for server in leaving))
-        for server in leaving:
-            server.draining = True
-    asked = [ask for ask in await asking if ask.sent_at]
+        await asyncio.sleep(DOWN_SECONDS)
+        discovery.crowded = True
+        record.line("the router is started again, with the list that it had last")
+        router.start()
+        if not await router.ready():
+            raise RuntimeError("the router is not ready after 30 s")
+        record.line("the router is ready: the front takes it in")
+    started_asking = time.monotonic()
+    asked = await sound_clients(router, record, 10, ASKING_SECONDS, pause=0.1)
     router.stop()
-    late = [attempt.begun_at - drained_at for server in leaving for attempt in server.attempts
+    late = [attempt.begun_at for server in leaving for attempt in server.attempts
             if drained_at and attempt.begun_at > drained_at + TOLD_SECONDS + GRACE_SECONDS]  # fmt: skip
-    record.line(f"{len(asked)} requests, {len(late)} attempts at draining servers after the grace: "
-                f"{', '.join(f'{seconds:.2f}' for seconds in late)} s after the drain began")  # fmt: skip
+    for at in sorted(late):
+        after_ready = at - started_asking
+        record.line(f"late: an attempt {at - drained_at:.2f} s after the drain, {after_ready:.2f} s after ready")
+    record.line(f"{len(asked)} requests after the restart, {len(late)} attempts at draining servers after the grace")
     return BROKEN if late else HELD
 
 
