Count all that clients have sent against one memory limit, not bodies alone

Cause: a client connection keeps the parsed head (two strings and a place in a table for each line: 0.6 MB for 32 KB of text) until the request has come whole and is answered. Only bytes of bodies counted against ClientLinks.max_body_bytes. Parsed heads, read buffers, pipelined bytes and collected answers counted nowhere, nor did the list entries of a body in small pieces (by reading).

Change: each connection counts everything it holds that grows with what was received (buffer, head, body, collected answer) in one figure, and ClientLinks holds the sum under one limit, a fifth of the memory limit (0.15 for bodies alone before). Over it, incomplete requests are ended, the oldest first; then the new one is refused. Bytes behind an open request are left in the kernel instead: they are read once it is answered. Bodies are one bytearray; a buffer that was emptied shrinks when its request begins, and while a closed connection is drained. On the other side, a connection to a model server keeps only the headers of an answer that are used.

Ruled out: the read buffers alone (330 of 64 KB would be 21 MB of the 210 that came).

Tests: tests/test_client_memory.py. The mutant of the release names the new line.

--- a/pearstall/models/mutants.py
+++ b/pearstall/models/mutants.py
@@ -352,9 +352,9 @@
         3,
     ),
     Mutant(
-        "bytes of a whole query stay on the books",
-        CLIENT_LINK + "_release_body",
-        "self.owner.body_bytes -= self.size",
+        "bytes of a whole query stay counted",
+        CLIENT_LINK + "_release_memory",
+        "self._count(0)",
         "pass",
         "client",
         "HTTP/1.0",
--- a/pearstall/net/buffer.py
+++ b/pearstall/net/buffer.py
@@ -21,6 +21,11 @@
     def __len__(self) -> int:
         return self.end - self.start
 
+    @property
+    def grown_bytes(self) -> int:
+        """Bytes allocated beyond the initial size."""
+        return len(self.data) - INITIAL_BYTES
+
     def writable_view(self) -> memoryview:
         """The free space behind the content, as a view that is valid until `wrote`."""
         self._release_view()
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -66,14 +66,16 @@
         self.transport: asyncio.Transport | None = None
         self.head: Head | None = None
         self.body: Body | None = None
-        self.parts: list[bytes] = []
-        self.size = 0
+        self.received_body = bytearray()
+        self.size = 0  # of the body, until the query is answered
+        self.held_bytes = 0  # as counted by the owner
         self.received_at = 0.0
         self.pipelined_since = 0.0  # arrival of the oldest bytes behind the query in progress; 0: there are none
         self.query: Query | None = None  # the one in progress
         self.holder: Holder = owner.core
         self.busy = False
         self.begun = False  # the head of a streamed answer was written
+        self.read_paused = False  # too little memory for what comes behind the query in progress
         self.write_paused = False  # asyncio reports this once, however many queries begin in the meantime
         self.collected: list[bytes] = []
         self.collected_size = 0
@@ -103,7 +105,7 @@
         self.owner.links.remove(self.handle)
         self.owner.forget(self)
         self._set_timeout(0)
-        self._release_body()
+        self._release_memory()
         if self.busy and self.query is not None:
             self.busy = False
             self.holder.client_gone(self.query.handle)
@@ -145,9 +147,43 @@
         request = self.query.txn if self.query is not None else ""
         self.owner.core.log.event("client_connection_closed", connection=self.handle, request=request, why=why)
 
-    def _release_body(self) -> None:
-        self.owner.body_bytes -= self.size
-        self.parts, self.size = [], 0
+    # -- memory --------------------------------------------------------------------------------------------
+
+    def _count_memory(self) -> None:
+        """Updates what the owner counts for this connection: all of its memory that grows with what was received."""
+        held = self.buffer.grown_bytes + self.size + self.collected_size
+        if self.head is not None:
+            held += self.head.memory_bytes
+        self._count(held)
+
+    def _count(self, held: int) -> None:
+        self.owner.held_bytes += held - self.held_bytes
+        self.held_bytes = held
+
+    def _release_memory(self) -> None:
+        self.received_body, self.size = bytearray(), 0
+        self.collected, self.collected_size = [], 0
+        self.buffer.skip(len(self.buffer))
+        self.buffer.release_memory()
+        self._count(0)
+
+    def _memory_suffices(self) -> bool:
+        """Whether the owner's limit leaves room for what this connection holds, at the expense of incomplete queries
+        if need be."""
+        self._count_memory()
+        return self.owner.held_bytes <= self.owner.max_held_bytes or self.owner.free_memory(self)
+
+    def _refuse_for_memory(self) -> None:
+        self.owner.counters.crowded_out += 1
+        self._reply(self.front.refused(0), last=True)
+
+    def _pause_reading(self, paused: bool) -> None:
+        if paused != self.read_paused and self.transport is not None and not self.transport.is_closing():
+            self.read_paused = paused
+            if paused:
+                self.transport.pause_reading()
+            else:
+                self.transport.resume_reading()
 
     # -- reading -------------------------------------------------------------------------------------------
 
@@ -158,6 +194,7 @@
         self.buffer.wrote(nbytes)
         if self.closing:
             self.buffer.skip(len(self.buffer))
+            self.buffer.release_memory()
             return
         if self.busy:
             self.pipelined_since = self.pipelined_since or self.owner.deadlines.clock.time()
@@ -166,6 +203,8 @@
                 # rather than closed: a close waits until the client has read its answer, which it may never do.
                 self._log_close("too much pipelined data")
                 self.abort()
+            elif not self._memory_suffices():
+                self._pause_reading(True)  # the rest waits in the kernel, and no new attempt begins without a client
             return
         try:
             self._read()
@@ -191,6 +230,8 @@
                     self.owner.request_started(self)
                 head = read_head(self.buffer)
                 if head is None:
+                    if not self._memory_suffices():
+                        self._refuse_for_memory()
                     return
                 if isinstance(head, Malformed):
                     self._reject(head)
@@ -200,7 +241,6 @@
                     self._reject(body)
                     return
                 self.head, self.body = head, body
-                self._release_body()
                 self.keep_alive = head.keep_alive
                 if body.left > MAX_BODY_BYTES:
                     self._reject(Malformed("the body is too large", 413))
@@ -212,14 +252,11 @@
             if isinstance(data, Malformed):
                 self._reject(data)
                 return
-            if data:
-                self.parts.append(data)
-                self.size += len(data)
-                self.owner.body_bytes += len(data)
-                if self.owner.body_bytes > self.owner.max_body_bytes and not self.owner.free_memory(self):
-                    self.owner.counters.crowded_out += 1
-                    self._reply(self.front.refused(0), last=True)
-                    return
+            self.received_body += data
+            self.size += len(data)
+            if not self._memory_suffices():
+                self._refuse_for_memory()
+                return
             if self.size > MAX_BODY_BYTES or (self.body.chunked and self.body.left > MAX_BODY_BYTES):
                 self._reject(Malformed("the body is too large", 413))
                 return
@@ -227,12 +264,12 @@
                 return
             now = self.owner.deadlines.clock.time()
             self.pipelined_since = self.pipelined_since or now if len(self.buffer) else 0.0
-            self._handle_request(self.head, b"".join(self.parts))
+            self._handle_request(self.head, bytes(self.received_body))
 
     def _handle_request(self, head: Head, body: bytes) -> None:
         self._set_timeout(0)
         self.owner.request_received(self)
-        self.parts = []
+        self.received_body = bytearray()
         direct = self.front.direct_reply(head)
         if direct is not None:
             self._reply(direct)
@@ -263,6 +300,8 @@
         self.query_count += 1
         query.answer = self
         self.query = query
+        self.buffer.release_memory()
+        self._count_memory()
 
     def _reject(self, why: Malformed) -> None:
         self.owner.counters.malformed += 1
@@ -283,6 +322,7 @@
         if self.query is None or not self.query.streams:
             self.collected.append(events)
             self.collected_size += len(events)
+            self._count_memory()
             if self.collected_size > MAX_COLLECTED_BYTES:
                 self.close()
             return False
@@ -362,15 +402,17 @@
         self.busy = False
         self.head = self.body = None
         self.received_at = 0.0
-        self.collected = []
+        self.received_body, self.size = bytearray(), 0
+        self.collected, self.collected_size = [], 0
         self.query = None
         self.holder = self.owner.core
-        self._release_body()
         self.owner.answered(self)
+        self._pause_reading(False)
         if not self.keep_alive or (self.owner.hurried and not len(self.buffer)):
             self._linger()
             return
         self.buffer.release_memory()
+        self._count_memory()
         if self.owner.leaving:
             self._set_timeout(SHUTDOWN_IDLE_SECONDS, self.stop_waiting)  # the answer had no "Connection: close"
         else:
@@ -382,7 +424,7 @@
         """Half-closes and keeps reading for a moment: an immediate close may send a reset, which would discard the
         part of the answer that the client has not read."""
         self.closing = True
-        self.buffer.skip(len(self.buffer))
+        self._release_memory()
         if self.transport is not None and not self.transport.is_closing():
             end_sending(self.transport)
             self._abort_unless_read()
@@ -423,8 +465,8 @@
         self.deadlines = core.deadlines
         self.counters = counters
         self.max_links = max_links
-        self.max_body_bytes = 16 << 20
-        self.body_bytes = 0  # of queries that are being received or are open
+        self.max_held_bytes = 16 << 20
+        self.held_bytes = 0  # for all connections: what came and was not parsed, heads, bodies, collected answers
         self.links: Slots[ClientLink] = Slots()
         # Oldest first: connections whose request is not complete, with the time since when, and idle ones.
         self.awaiting_request: dict[ClientLink, float] = {}
@@ -485,9 +527,9 @@
     def free_memory(self, link: ClientLink) -> bool:
         """Incomplete queries that make no progress must not use up the memory of those that arrive completely."""
         for other in list(self.awaiting_request):
-            if other is not link and other.size:
+            if other is not link and other.held_bytes:
                 other.stop_waiting()
-                if self.body_bytes <= self.max_body_bytes:
+                if self.held_bytes <= self.max_held_bytes:
                     return True
         return False
 
--- a/pearstall/net/http1.py
+++ b/pearstall/net/http1.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Set
 from dataclasses import dataclass, field
 
 from pearstall.net.buffer import Buffer
 
 MAX_HEAD_BYTES = 32768
+HEADER_OVERHEAD_BYTES = 192  # memory of a parsed header beyond its text: two strings and an entry of a table
 MAX_CHUNK_LINE_BYTES = 1024  # the line with a chunk's size and its extensions
 MAX_CHUNK_BYTES = 4 << 20  # a larger size is treated as corrupted framing, not as gigabytes of data
 EARLY_CHECK_BYTES = 4096  # only this much of an incomplete head is checked as it arrives
@@ -49,6 +51,17 @@
     status: int = 0
     minor: int = 1
     headers: dict[str, str] = field(default_factory=dict)
+    text_bytes: int = 0  # of the whole head, as it was received
+
+    @property
+    def memory_bytes(self) -> int:
+        """An upper estimate of the memory that the head takes, with the copy of its text that a query keeps."""
+        return 2 * self.text_bytes + HEADER_OVERHEAD_BYTES * len(self.headers)
+
+    def reduced(self, names: Set[str]) -> Head:
+        """The same head with these headers only."""
+        kept = {name: value for name, value in self.headers.items() if name in names}
+        return Head(self.method, self.target, self.status, self.minor, kept, self.text_bytes)
 
     @property
     def path(self) -> str:
@@ -109,7 +122,10 @@
             return None
         parsed = _parse_lines(received.split(b"\r\n")[:-1], response)
         return parsed if isinstance(parsed, Malformed) else None
-    return _parse_lines(buffer.take(end + 4)[:-4].split(b"\r\n"), response)
+    head = _parse_lines(buffer.take(end + 4)[:-4].split(b"\r\n"), response)
+    if isinstance(head, Head):
+        head.text_bytes = end
+    return head
 
 
 def _parse_lines(lines: list[bytes], response: bool) -> Head | Malformed:
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -30,7 +30,7 @@
 
 IDLE_TIMEOUT_FRACTION = 0.7  # of the time after which a model server closes an idle connection
 RESERVED_SOCKETS = 64  # for listeners, the watch, files, and connections accepted before others are closed
-BODY_MEMORY_FRACTION = 0.15  # of the memory limit, for bodies of queries
+CLIENT_MEMORY_FRACTION = 0.2  # of the memory limit, for all that clients have sent and that is still held
 CLIENT_SOCKET_FRACTION = 0.5  # of the sockets that are not reserved
 # Client connections stay open this long after SIGTERM: another router may be restarting at that time, and a load
 # balancer takes a while to use it again. Clients that were disconnected at once found no other router.
@@ -100,7 +100,7 @@
         self.core.watch = self.cluster.subscribe
         self.core.server_name = lambda replica: self.cluster.names.get(replica, str(replica))
         self.clients = ClientLinks(self.core, self.counters, clients)
-        self.clients.max_body_bytes = int(config.limits.memory_mb * BODY_MEMORY_FRACTION * (1 << 20))
+        self.clients.max_held_bytes = int(config.limits.memory_mb * CLIENT_MEMORY_FRACTION * (1 << 20))
         self.fronts: dict[tuple[str, int], PlatformFront | OpenAIFront] = {}
         if config.listen is not None:
             self.fronts[config.listen] = PlatformFront(config.names)
@@ -273,7 +273,7 @@
             self.servers.connect_limit = links.connect_timeout / 1e6
             self.servers.idle_limit = IDLE_TIMEOUT_FRACTION * links.conn_idle / 1e6
         self.clients.max_links, self.servers.max_links = connection_limits(updated.limits.sockets)
-        self.clients.max_body_bytes = int(updated.limits.memory_mb * BODY_MEMORY_FRACTION * (1 << 20))
+        self.clients.max_held_bytes = int(updated.limits.memory_mb * CLIENT_MEMORY_FRACTION * (1 << 20))
         self.cluster.change_discovery(updated.discovery)
         if self.edge is not None:
             self.edge.reload(updated)
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -26,6 +26,8 @@
 # When the event loop was blocked, an established connection may be noticed in the same iteration in which its connect
 # timeout fires. asyncio needs at most this many more iterations to report it.
 CONNECT_GRACE_ITERATIONS = 5
+# The headers of an answer that are used; a server may send thousands of others, which would take memory.
+ANSWER_HEADERS = frozenset(("connection", "content-length", "content-type", "transfer-encoding", "x-turned-away"))
 
 
 class ServerForm(Protocol):
@@ -169,7 +171,7 @@
                 self.fail(head.why)
                 return
             if head.status >= 200:
-                self.head = head
+                self.head = head.reduced(ANSWER_HEADERS)
                 continue
             self.interim_responses += 1
             if self.interim_responses > MAX_INTERIM_RESPONSES:
--- /dev/null
+++ b/tests/test_client_memory.py
@@ -0,0 +1,146 @@
+"""The memory that a real router process holds for its clients, whatever they send."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from contextlib import AsyncExitStack
+from pathlib import Path
+from string import ascii_lowercase
+
+from pearstall.lab.processes import RouterProcess
+from pearstall.lab.rig import free_ports
+from pearstall.lab.servers import LOCAL, Behaviour, ExecutionLog, StandIn
+from pearstall.lab.stations import Discovery
+from pearstall.net.buffer import INITIAL_BYTES
+from tests.net_support import HEAD, PATH, Client, ModelServer, running, setup, until
+from tests.test_restart_membership import row
+
+MEMORY_LIMIT_MB = 96
+BAD_CLIENTS = 330  # with the sound ones, a third of the descriptors
+HEAD_BYTES = 32_000
+PIPELINED_BODY_BYTES = 60_000
+STAY_SECONDS = 2.5
+REQUEST_LINE = f"POST {PATH} HTTP/1.1\r\nX-Lane: chat\r\nX-Remaining: 2.5\r\n"
+
+
+def short_header_lines(size: int) -> str:
+    names = itertools.chain(*(itertools.product(ascii_lowercase, repeat=length) for length in (1, 2, 3)))
+    lines = (f"{''.join(name)}:ab\r\n" for name in names if "".join(name) != "te")
+    taken, total = [], 0
+    for line in lines:
+        taken.append(line)
+        total += len(line)
+        if total >= size:
+            break
+    return "".join(taken)
+
+
+def half_request(number: int) -> bytes:
+    """A long head of short lines, and the first byte of the body that it announces."""
+    return f"{REQUEST_LINE}X-Txn: bad{number}\r\nContent-Length: 9\r\n{short_header_lines(HEAD_BYTES)}\r\n{{".encode()
+
+
+def memory_mb(router: RouterProcess) -> float:
+    """The most that the process has had resident."""
+    assert router.process is not None
+    status = Path(f"/proc/{router.process.pid}/status").read_text()
+    return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1]) / 1024
+
+
+async def bad_client(port: int, data: bytes) -> None:
+    with contextlib.suppress(OSError):
+        reader, writer = await asyncio.open_connection(LOCAL, port)
+        writer.write(data)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(STAY_SECONDS):
+                while await reader.read(65536):
+                    pass
+        writer.close()
+
+
+def test_half_requests_with_long_heads_do_not_exhaust_the_memory(tmp_path: Path) -> None:
+    """Only bodies counted against a limit: parsed heads took the process over its memory limit, and it was killed."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            books = ExecutionLog()
+            server = await stack.enter_async_context(StandIn(0, books, Behaviour(), 1, "platform").listening())
+            discovery = Discovery((LOCAL, free_ports(1)[0]))
+            discovery.put(row(server, "ready"))
+            await discovery.start()
+            limits = {"cores": 1.0, "memory_mb": MEMORY_LIMIT_MB, "sockets": 1024}
+            router = RouterProcess(
+                tmp_path,
+                {"discovery": f"{LOCAL}:{discovery.address[1]}", "limits": limits, "settings": setup()},
+            )
+            stack.callback(router.kill)
+            router.start()
+            await router.until_health(200, 20)
+            await asyncio.gather(*(bad_client(router.port, half_request(number)) for number in range(BAD_CLIENTS)))
+            assert router.exit_code is None
+            assert memory_mb(router) < MEMORY_LIMIT_MB
+            assert (await Client("platform", router.port).ask())[0] == "served"
+
+    asyncio.run(scene())
+
+
+def request(number: int, body_bytes: int) -> bytes:
+    body = b'{"x":"' + b"x" * body_bytes + b'"}'
+    return f"{REQUEST_LINE}X-Txn: t{number}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+def test_a_pipelined_request_waits_in_the_kernel_while_memory_is_short(tmp_path: Path) -> None:
+    """Bytes behind an open request counted nowhere; they must neither be held without a limit nor be lost."""
+
+    async def scene() -> None:
+        async with (
+            ModelServer("platform", "hold").listening() as server,
+            running(tmp_path, [server]) as (program, ports),
+        ):
+            program.clients.max_held_bytes = 16_000
+            client = Client("platform", ports["platform"])
+            wire = await client.connect()
+            wire.writer.write(request(1, 10))
+            await until(lambda: len(server.seen) == 1)
+            program.clients.max_held_bytes = 0
+            wire.writer.write(request(2, PIPELINED_BODY_BYTES))
+            (link,) = program.clients.links
+            await until(lambda: len(link.buffer) > 0)
+            await asyncio.sleep(0.05)
+            assert len(link.buffer) <= INITIAL_BYTES
+            program.clients.max_held_bytes = 1 << 20
+            server.go_on.set()
+            assert [(await client.answer())[0], (await client.answer())[0]] == ["served", "served"]
+            client.close()
+            await until(lambda: not len(program.clients.links))
+            assert program.clients.held_bytes == 0
+
+    asyncio.run(scene())
+
+
+def test_only_the_headers_in_use_are_kept_of_an_answer(tmp_path: Path) -> None:
+    """A model server's answer with thousands of headers was kept parsed for as long as its stream went on."""
+    several = "".join(f"H{number}: ab\r\n" for number in range(1000)).encode()
+
+    async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD[:-2] + several + b"\r\n" + b"9\r\ndata: x\n\n\r\n")
+        await reader.read()
+        writer.close()
+
+    async def scene() -> None:
+        listener = await asyncio.start_server(answer, LOCAL, 0)
+        server = ModelServer("platform")
+        server.port = listener.sockets[0].getsockname()[1]
+        async with running(tmp_path, [server]) as (program, ports):
+            client = Client("platform", ports["platform"])
+            await client.send()
+            await until(lambda: any(query.forwarded for query in program.core.queries))
+            (link,) = program.servers.links
+            assert link.head is not None and set(link.head.headers) == {"content-type", "transfer-encoding"}
+            client.close()
+        listener.close()
+
+    asyncio.run(scene())
