Read a head with work in proportion to its length, however it repeats or is cut

Causes, by timing the parser alone: (1) a repeated header was joined to its earlier value at each line, which copies the value each time: quadratic in the head. (2) Python steps for each line, without a limit on lines: 7,000 linear ones would still cost some milliseconds a head. (3) On a related path, the first 4 KB of an incomplete head were split and checked anew at every read: about a millisecond for each few bytes of a head that comes in pieces.

Change: HeadReader keeps how far it has searched and checked, so that each byte is searched and each line checked once. Lines are split and checked by two regular expressions, repeated values are joined once at the end, and a head may have 1,024 lines (431 beyond, counted before they are parsed). All who read heads use it: both fronts, model servers' answers, discovery, the edge.

Tests: tests/test_bounded_work.py, a real process and 300 bad clients.

--- a/pearstall/edge/http.py
+++ b/pearstall/edge/http.py
@@ -32,11 +32,11 @@
     LAST_CHUNK,
     Body,
     Head,
+    HeadReader,
     Malformed,
     Reply,
     body_of,
     chunk,
-    read_head,
 )
 from pearstall.net.pending import pending
 from pearstall.net.platform import decimal
@@ -93,6 +93,7 @@
 
     def __init__(self, link: EdgeLink) -> None:
         self.link, self.edge = link, link.edge
+        self.head_reader = HeadReader()
         self.head: Head | None = None
         self.body: Body | None = None
         self.parts: list[bytes] = []
@@ -107,7 +108,7 @@
                 if not self.request_begun:
                     self.request_begun = True
                     self.link.set_timer(REQUEST_TIMEOUT, self._too_slow)
-                head = read_head(buffer)
+                head = self.head_reader.read(buffer)
                 if head is None:
                     return
                 if isinstance(head, Malformed):
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -12,7 +12,7 @@
 from pearstall.net.core import Blamed, Core, Query
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadline
-from pearstall.net.http1 import LAST_CHUNK, Body, Head, Malformed, Reply, UnknownClass, body_of, chunk, read_head
+from pearstall.net.http1 import LAST_CHUNK, Body, Head, HeadReader, Malformed, Reply, UnknownClass, body_of, chunk
 from pearstall.net.pending import end_sending, gone, pending
 from pearstall.net.slots import Slots
 
@@ -64,6 +64,7 @@
         self.buffer = Buffer()
         self.handle = 0
         self.transport: asyncio.Transport | None = None
+        self.head_reader = HeadReader()
         self.head: Head | None = None
         self.body: Body | None = None
         self.received_body = bytearray()
@@ -228,7 +229,7 @@
                             SHUTDOWN_IDLE_SECONDS if self.owner.hurried else READ_TIMEOUT_SECONDS, self.stop_waiting
                         )
                     self.owner.request_started(self)
-                head = read_head(self.buffer)
+                head = self.head_reader.read(self.buffer)
                 if head is None:
                     if not self._memory_suffices():
                         self._refuse_for_memory()
--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -15,7 +15,7 @@
 from pearstall.net.config import Names
 from pearstall.net.core import Core
 from pearstall.net.deadlines import Deadline
-from pearstall.net.http1 import Body, Malformed, body_of, read_head
+from pearstall.net.http1 import Body, HeadReader, Malformed, body_of
 from pearstall.net.inventory import BadList, Host, HostList, read_host_list, read_inventory, split_address
 from pearstall.net.platform import number_of
 from pearstall.net.start_times import StartTimes
@@ -162,6 +162,7 @@
         self.lines = Buffer()
         self.partial_message = b""  # the lines so far of a message that spans several lines
         self.first_indent = 0  # indentation of that message's first line
+        self.head_reader = HeadReader(response=True)
         self.body: Body | None = None
         self.transport: asyncio.Transport | None = None
         self.connecting: asyncio.Task[None] | None = None
@@ -215,7 +216,7 @@
     def _read(self) -> bool:
         """False if the response is invalid or has ended."""
         while self.body is None:
-            head = read_head(self.buffer, response=True)
+            head = self.head_reader.read(self.buffer)
             if head is None:
                 return True
             if isinstance(head, Malformed) or head.status >= 300:
--- a/pearstall/net/http1.py
+++ b/pearstall/net/http1.py
@@ -13,13 +13,17 @@
 MAX_CHUNK_LINE_BYTES = 1024  # the line with a chunk's size and its extensions
 MAX_CHUNK_BYTES = 4 << 20  # a larger size is treated as corrupted framing, not as gigabytes of data
 EARLY_CHECK_BYTES = 4096  # only this much of an incomplete head is checked as it arrives
-TOKEN = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
-REQUEST_LINE = re.compile(rb"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/1\.([01])")
-STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-9][0-9][0-9])(?: .*)?")
+MAX_HEADER_LINES = 1024
+TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+REQUEST_LINE = re.compile(r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/1\.([01])")
+STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-9][0-9][0-9])(?: .*)?")
+# Possessive: without, a line that fails would be tried again from each of its bytes.
+HEADER_LINE = re.compile(r"([!#$%&'*+\-.^_`|~0-9A-Za-z]++):([^\x00-\x08\x0a-\x1f\x7f]*+)\r\n")
+HEADER_LINES = re.compile(f"(?:{HEADER_LINE.pattern})*+")
 CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,15}")
 CHUNK_START = re.compile(rb"[0-9A-Fa-f]{0,15}(?:[ \t;\r]|$)")
 DIGITS = re.compile(rb"[0-9]{1,15}")
-CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")
+CONTROL = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
 METHOD_START = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]{1,64}(?: |$)")
 STATUS_START = b"HTTP/1."
 # A repeated header is normally joined into one list; for these, the result would be a value that nobody sent.
@@ -101,62 +105,122 @@
     """Answers a request whose class is not in the settings: an error of the client, with a counter of its own."""
 
 
-def read_head(buffer: Buffer, response: bool = False) -> Head | Malformed | None:
-    """Takes a complete head from the buffer. None: it has not arrived completely."""
-    while not response and buffer.peek(2) == b"\r\n":
-        buffer.skip(2)  # some clients send an additional line end after a body
-    if not len(buffer) or (not response and buffer.peek(2) == b"\r"):
-        return None
-    end = buffer.find(b"\r\n\r\n", 0, MAX_HEAD_BYTES + 4)
-    if end < 0:
+class HeadReader:
+    """Reads heads from a buffer as they arrive, one after the other. Each byte is searched and each line is checked
+    once, however the head is cut into pieces."""
+
+    __slots__ = ("response", "searched", "checked")
+
+    def __init__(self, response: bool = False) -> None:
+        self.response = response
+        self.searched = 0  # bytes at the front of the buffer without an end of a head
+        self.checked = 0  # bytes at the front of the buffer that are known to be lines of a head
+
+    def read(self, buffer: Buffer) -> Head | Malformed | None:
+        """Takes a complete head from the buffer. None: it has not arrived completely, and until it has, nothing else
+        may take bytes from the buffer."""
+        while not self.response and buffer.peek(2) == b"\r\n":
+            buffer.skip(2)  # some clients send an additional line end after a body
+        if not len(buffer) or (not self.response and buffer.peek(2) == b"\r"):
+            return None
+        end = buffer.find(b"\r\n\r\n", max(0, self.searched - 3), MAX_HEAD_BYTES + 4)
+        if end < 0:
+            self.searched = len(buffer)
+            return self._check_incomplete(buffer)
+        self.searched = self.checked = 0
+        return _parse_head(buffer.take(end + 4)[:-2].decode("latin-1"), self.response)
+
+    def _check_incomplete(self, buffer: Buffer) -> Malformed | None:
+        """Garbage is rejected at once: waiting for its end would keep the connection until a timeout."""
         if len(buffer) > MAX_HEAD_BYTES:
             return Malformed("the head is too large", 431)
-        # Garbage is rejected at once: waiting for its end would keep the connection until a timeout.
-        start = buffer.peek(66)
-        if response and not STATUS_START.startswith(start[:7]):
-            return Malformed("no status line")
-        if not response and not METHOD_START.match(start):
-            return Malformed("no request line")
+        if not self.checked:
+            start = buffer.peek(66)
+            if self.response and not STATUS_START.startswith(start[:7]):
+                return Malformed("no status line")
+            if not self.response and not METHOD_START.match(start):
+                return Malformed("no request line")
+        if self.checked >= EARLY_CHECK_BYTES:
+            return None
         received = buffer.peek(EARLY_CHECK_BYTES)
-        if b"\r\n" not in received:
+        whole_lines = received.rfind(b"\r\n") + 2
+        if whole_lines < 2 or whole_lines <= self.checked:
             return None
-        parsed = _parse_lines(received.split(b"\r\n")[:-1], response)
-        return parsed if isinstance(parsed, Malformed) else None
-    head = _parse_lines(buffer.take(end + 4)[:-4].split(b"\r\n"), response)
-    if isinstance(head, Head):
-        head.text_bytes = end
-    return head
+        lines = received[self.checked : whole_lines].decode("latin-1")
+        malformed = _check_lines(lines, self.response, not self.checked)
+        self.checked = whole_lines
+        return malformed
 
 
-def _parse_lines(lines: list[bytes], response: bool) -> Head | Malformed:
-    head = _parse_first_line(lines[0], response)
+def read_head(buffer: Buffer, response: bool = False) -> Head | Malformed | None:
+    """Takes a complete head from the buffer. None: it has not arrived completely. A HeadReader does less work where a
+    head arrives in pieces."""
+    return HeadReader(response).read(buffer)
+
+
+def _check_lines(text: str, response: bool, with_first: bool) -> Malformed | None:
+    """Whether these complete lines may be lines of a head. `with_first`: they begin with its first line."""
+    if with_first:
+        first_line, _, text = text.partition("\r\n")
+        first = _parse_first_line(first_line, response)
+        if isinstance(first, Malformed):
+            return first
+    headers = _split_headers(text, response)
+    return headers if isinstance(headers, Malformed) else None
+
+
+def _parse_head(text: str, response: bool) -> Head | Malformed:
+    """`text`: all lines of a head, without the empty one at its end."""
+    first_line, _, lines = text.partition("\r\n")
+    head = _parse_first_line(first_line, response)
     if isinstance(head, Malformed):
         return head
-    for line in lines[1:]:
-        name, colon, value = line.partition(b":")
+    if lines.count("\r\n") > MAX_HEADER_LINES:
+        return Malformed("the head has too many lines", 431)
+    headers = _split_headers(lines, response)
+    if isinstance(headers, Malformed):
+        return headers
+    head.text_bytes = len(text)
+    repeated: dict[str, list[str]] = {}
+    for name, padded_value in headers:
+        key, value = name.lower(), padded_value.strip(" \t")
+        if key not in head.headers:
+            head.headers[key] = value
+        elif key in SINGLE_HEADERS or (not response and key.startswith("x-")):
+            return Malformed(f"{key} is given twice")
+        else:
+            repeated.setdefault(key, [head.headers[key]]).append(value)
+    for key, values in repeated.items():  # joined once: a join at each line copies the value each time
+        head.headers[key] = ", ".join(values)
+    return head
+
+
+def _split_headers(lines: str, response: bool) -> list[tuple[str, str]] | Malformed:
+    """Names and values, as they stand in these complete lines."""
+    if HEADER_LINES.fullmatch(lines):
+        return HEADER_LINE.findall(lines)
+    if not response:
+        return Malformed("a header is no header")
+    readable: list[tuple[str, str]] = []
+    for line in lines.split("\r\n")[:-1]:
+        name, colon, value = line.partition(":")
         if not colon or not TOKEN.fullmatch(name):
             return Malformed("a header is no header")
-        key, text = name.decode("ascii").lower(), value.strip(b" \t").decode("latin-1")
-        if CONTROL.search(value):
-            if response and key not in REQUIRED_READABLE:
-                continue  # an unreadable optional header does not invalidate an answer
+        if not CONTROL.search(value):
+            readable.append((name, value))
+        elif name.lower() in REQUIRED_READABLE:  # any other header does not invalidate an answer
             return Malformed("a header is no header")
-        if key in head.headers:
-            if key in SINGLE_HEADERS or (not response and key.startswith("x-")):
-                return Malformed(f"{key} is given twice")
-            text = f"{head.headers[key]}, {text}"
-        head.headers[key] = text
-    return head
+    return readable
 
 
-def _parse_first_line(line: bytes, response: bool) -> Head | Malformed:
+def _parse_first_line(line: str, response: bool) -> Head | Malformed:
     if response:
         match = STATUS_LINE.fullmatch(line)
         return Head(status=int(match[2]), minor=int(match[1])) if match else Malformed("no status line")
     match = REQUEST_LINE.fullmatch(line)
     if not match:
         return Malformed("no request line")
-    return Head(match[1].decode("ascii"), match[2].decode("ascii"), minor=int(match[3]))
+    return Head(match[1], match[2], minor=int(match[3]))
 
 
 class Body:
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -26,6 +26,7 @@
     )
 )
 CACHED_TOKENS = re.compile(rb'"cached_tokens"\s*:\s*(\d{1,12})')
+LABEL = re.compile(r"(?:^|,)\s*+(prefix|prompt_len|prefix_len)\s*+=([^,]*+)")
 DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{0,9})?|\.[0-9]{1,9}")
 
 
@@ -53,11 +54,10 @@
 
 
 class Labels:
-    """The key=value pairs of an X-Labels header."""
+    """The key=value pairs of an X-Labels header that are used."""
 
     def __init__(self, header: str) -> None:
-        pairs = [label.partition("=") for label in header.split(",")]
-        self.values = {key.strip(): value.strip() for key, _, value in pairs}
+        self.values = {key: value.strip() for key, value in LABEL.findall(header)}
 
     def number(self, key: str, default: float) -> float:
         value = decimal(self.values.get(key, ""))
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -13,7 +13,7 @@
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadline, Deadlines
 from pearstall.net.events import WELL_FORMED_LINES, EventSplitter
-from pearstall.net.http1 import Body, Head, Malformed, body_of, read_head
+from pearstall.net.http1 import Body, Head, HeadReader, Malformed, body_of
 from pearstall.net.pending import pending
 from pearstall.net.slots import Slots
 
@@ -54,6 +54,7 @@
         self.execution: Execution | None = None
         self.written = False  # the whole request was handed to the kernel
         self.closed = False
+        self.head_reader = HeadReader(response=True)
         self.head: Head | None = None
         self.body: Body | None = None
         self.splitter = EventSplitter()
@@ -164,7 +165,7 @@
                 self.close()  # data without a request: it must not be taken for the answer to the next one
             return
         while self.head is None:
-            head = read_head(self.buffer, response=True)
+            head = self.head_reader.read(self.buffer)
             if head is None:
                 return
             if isinstance(head, Malformed):
--- /dev/null
+++ b/tests/test_bounded_work.py
@@ -0,0 +1,110 @@
+"""How long a real router process stands still while bad clients send what takes long to read."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Iterator
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import pytest
+
+from pearstall.lab.processes import RouterProcess
+from pearstall.lab.rig import free_ports
+from pearstall.lab.servers import LOCAL, Behaviour, ExecutionLog, StandIn
+from pearstall.lab.stations import Discovery
+from pearstall.net.buffer import Buffer
+from pearstall.net.http1 import MAX_HEADER_LINES, Head, Malformed, read_head
+from pearstall.net.platform import Labels
+from tests.net_support import PATH, setup
+from tests.test_restart_membership import row
+
+BAD_CLIENTS = 300
+SECONDS = 4.0
+LATE_SECONDS = 0.5  # an answer that comes later than this after its time is lost
+PIECE_SECONDS = 0.05
+REQUEST_LINE = f"POST {PATH} HTTP/1.1\r\nX-Lane: chat\r\nX-Remaining: 2.5\r\n"
+
+
+def repeated_lines(number: int) -> Iterator[bytes]:
+    """One header line 7,000 times, whose end comes with those of all other clients."""
+    yield f"{REQUEST_LINE}X-Txn: bad{number}\r\nContent-Length: 9\r\n".encode() + b"a:\r\n" * 7000
+    yield b"\r\n{"
+
+
+def head_in_pieces(number: int) -> Iterator[bytes]:
+    """Many short lines, then a line that comes in small pieces."""
+    yield (
+        f"{REQUEST_LINE}X-Txn: bad{number}\r\n".encode() + b"".join(b"h%d:\r\n" % line for line in range(600)) + b"b:"
+    )
+    while True:
+        yield b"x" * 8
+
+
+async def bad_client(port: int, pieces: Iterator[bytes]) -> None:
+    """Sends the pieces, reads what it is sent, and does the same again until it has been turned away."""
+    with contextlib.suppress(OSError):
+        reader, writer = await asyncio.open_connection(LOCAL, port)
+        reading = asyncio.create_task(reader.read(-1))
+        for piece in pieces:
+            if writer.is_closing() or reading.done():
+                break
+            writer.write(piece)
+            await asyncio.sleep(PIECE_SECONDS)
+        with contextlib.suppress(OSError):
+            await reading
+        writer.close()
+
+
+async def slowest_answer(router: RouterProcess, seconds: float) -> float:
+    """The longest time that a health check took."""
+    loop, slowest = asyncio.get_running_loop(), 0.0
+    end = loop.time() + seconds
+    while (began := loop.time()) < end:
+        assert await router.health() == 200
+        slowest = max(slowest, loop.time() - began)
+        await asyncio.sleep(0.01)
+    return slowest
+
+
+@pytest.mark.parametrize("sent", [repeated_lines, head_in_pieces])
+def test_other_clients_are_answered_in_time(sent, tmp_path: Path) -> None:  # type: ignore[no-untyped-def]
+    """The event loop stood still for seconds while it read what hundreds of bad clients had sent."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = StandIn(0, ExecutionLog(), Behaviour(), 1, "platform")
+            await stack.enter_async_context(server.listening())
+            discovery = Discovery((LOCAL, free_ports(1)[0]))
+            discovery.put(row(server, "ready"))
+            await discovery.start()
+            router = RouterProcess(tmp_path, {"discovery": f"{LOCAL}:{discovery.address[1]}", "settings": setup()})
+            stack.callback(router.kill)
+            router.start()
+            await router.until_health(200, 20)
+            bad = [asyncio.create_task(bad_client(router.port, sent(number))) for number in range(BAD_CLIENTS)]
+            assert await slowest_answer(router, SECONDS) < LATE_SECONDS
+            for task in bad:
+                task.cancel()
+
+    asyncio.run(scene())
+
+
+def head_of(lines: list[str]) -> Head | Malformed | None:
+    buffer = Buffer()
+    buffer.add("\r\n".join(["GET / HTTP/1.1", *lines, "", ""]).encode())
+    return read_head(buffer)
+
+
+def test_repeated_headers_are_joined_in_order_and_the_number_of_lines_is_limited() -> None:
+    head = head_of(["A: 1", "b: 2", "a:3", "A:"])
+    assert isinstance(head, Head) and head.headers == {"a": "1, 3, ", "b": "2"}
+    assert isinstance(head_of(["a:"] * MAX_HEADER_LINES), Head)
+    too_many = head_of(["a:"] * (MAX_HEADER_LINES + 1))
+    assert isinstance(too_many, Malformed) and too_many.status == 431
+
+
+def test_only_the_labels_in_use_are_kept() -> None:
+    labels = Labels(" prompt_len = 5 ,x=1,prefix=a=b,prefix_len=,xprefix=c,y" + ",z" * 1000)
+    assert labels.values == {"prompt_len": "5", "prefix": "a=b", "prefix_len": ""}
