Bound the work of one loop iteration on what clients have sent; the rest waits its turn

Cause: a connection was read to the end of what had come (40 ms for 60 KB of one-byte chunks, every one of hundreds of refused requests), and all connections that were readable in one iteration were read in it. The guard of each answer runs in the same loop.

Change: net/read_turns.py. Client connections are read for 5 ms of an iteration, one request each; the others wait in order of arrival. A body's framing is read 64 lines at a time, then the connection goes behind the others. Input that waits keeps the time at which it came, so deadlines still count from there; it is read before its connection is judged silent, evicted or too slow; and above 64 KiB of it the rest stays in the kernel. Where no iteration has too much, everything is read at once as before.

The same cause is left at the edge (off in `run`) and for answers of model servers, which are read as they come.

Tests: tests/test_bounded_work.py, a health check while 300 bad clients send, 0.5 s allowed.

--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -14,10 +14,12 @@
 from pearstall.net.deadlines import Deadline
 from pearstall.net.http1 import LAST_CHUNK, Body, Head, HeadReader, Malformed, Reply, UnknownClass, body_of, chunk
 from pearstall.net.pending import end_sending, gone, pending
+from pearstall.net.read_turns import ReadTurns
 from pearstall.net.slots import Slots
 
 MAX_BODY_BYTES = 256 * 1024
 MAX_PIPELINED_BYTES = 64 * 1024  # received behind a query that is still being answered
+MAX_CHUNK_LINES_PER_TURN = 64  # of one body: it may consist of thousands of tiny chunks
 MAX_COLLECTED_BYTES = 4 << 20  # of an answer that is sent as one object instead of a stream
 READ_TIMEOUT_SECONDS = 2.4  # for a complete query, from its first byte; for the first one, from the accept
 IDLE_TIMEOUT_SECONDS = 4.0  # between two queries
@@ -71,6 +73,7 @@
         self.size = 0  # of the body, until the query is answered
         self.held_bytes = 0  # as counted by the owner
         self.received_at = 0.0
+        self.waiting_since = 0.0  # arrival of input that waits for a turn to be read; 0: none does
         self.pipelined_since = 0.0  # arrival of the oldest bytes behind the query in progress; 0: there are none
         self.query: Query | None = None  # the one in progress
         self.holder: Holder = owner.core
@@ -105,6 +108,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.owner.links.remove(self.handle)
         self.owner.forget(self)
+        self.owner.turns.forget(self)
         self._set_timeout(0)
         self._release_memory()
         if self.busy and self.query is not None:
@@ -134,7 +138,11 @@
         gets no answer."""
         if self.closing:
             self.abort()
-        elif self.unsent:
+            return
+        self.owner.turns.read_now(self)
+        if self.busy:
+            return  # the query had arrived, and only waited to be read
+        if self.unsent:
             self._linger()  # the client may still read the previous answer
         elif self.idle:
             if not self.close_if_idle():
@@ -207,8 +215,19 @@
             elif not self._memory_suffices():
                 self._pause_reading(True)  # the rest waits in the kernel, and no new attempt begins without a client
             return
+        if not self.owner.turns.add(self):
+            self.waiting_since = self.waiting_since or self.owner.deadlines.clock.time()
+            if len(self.buffer) > MAX_PIPELINED_BYTES:
+                self._pause_reading(True)
+
+    def read_input(self, now: float) -> None:
+        """Handles what has arrived, up to the end of one query."""
+        if self.closing or self.busy:
+            return
+        self._pause_reading(False)
+        arrived_at, self.waiting_since = self.waiting_since or now, 0.0
         try:
-            self._read()
+            self._read(arrived_at)
         except Exception as error:  # contained here, so that no other connection is affected
             self.owner.counters.exceptions += 1
             log_exception(self.owner.core.log, error)
@@ -217,55 +236,57 @@
             else:
                 self._reply(self.front.failed(False), last=True)
 
-    def _read(self) -> None:
-        """Handles everything between the end of the last answer and the last byte of the next query."""
-        while not self.busy and not self.closing and len(self.buffer):
-            if self.head is None:
-                if not self.received_at:
-                    # The client's deadline counts from when it sent the query, not from the end of the last answer.
-                    self.received_at = self.pipelined_since or self.owner.deadlines.clock.time()
-                    if self.query_count:  # the timeout of the first query counts from the accept
-                        self._set_timeout(
-                            SHUTDOWN_IDLE_SECONDS if self.owner.hurried else READ_TIMEOUT_SECONDS, self.stop_waiting
-                        )
-                    self.owner.request_started(self)
-                head = self.head_reader.read(self.buffer)
-                if head is None:
-                    if not self._memory_suffices():
-                        self._refuse_for_memory()
-                    return
-                if isinstance(head, Malformed):
-                    self._reject(head)
-                    return
-                body = body_of(head)
-                if isinstance(body, Malformed):
-                    self._reject(body)
-                    return
-                self.head, self.body = head, body
-                self.keep_alive = head.keep_alive
-                if body.left > MAX_BODY_BYTES:
-                    self._reject(Malformed("the body is too large", 413))
-                    return
-                if head.headers.get("expect", "").lower() == "100-continue" and not body.done:
-                    self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            assert self.body is not None
-            data = self.body.feed(self.buffer)
-            if isinstance(data, Malformed):
-                self._reject(data)
-                return
-            self.received_body += data
-            self.size += len(data)
+    def _read(self, arrived_at: float) -> None:
+        """Handles what lies between the end of the last answer and the last byte of the next query."""
+        if not len(self.buffer):
+            return
+        if self.head is None:
+            self._read_head(arrived_at)
+        if self.head is None or self.body is None:
+            return
+        data = self.body.feed(self.buffer, MAX_CHUNK_LINES_PER_TURN)
+        if isinstance(data, Malformed):
+            self._reject(data)
+            return
+        self.received_body += data
+        self.size += len(data)
+        if not self._memory_suffices():
+            self._refuse_for_memory()
+        elif self.size > MAX_BODY_BYTES or (self.body.chunked and self.body.left > MAX_BODY_BYTES):
+            self._reject(Malformed("the body is too large", 413))
+        elif self.body.done:
+            self.pipelined_since = self.pipelined_since or arrived_at if len(self.buffer) else 0.0
+            self._handle_request(self.head, bytes(self.received_body))
+        elif self.body.unread_lines:
+            self.owner.turns.add_last(self)
+
+    def _read_head(self, arrived_at: float) -> None:
+        """Reads the head of the next query, once it is there, and answers one that can't be read."""
+        if not self.received_at:
+            # The client's deadline counts from when it sent the query, not from the end of the last answer.
+            self.received_at = self.pipelined_since or arrived_at
+            if self.query_count:  # the timeout of the first query counts from the accept
+                limit = SHUTDOWN_IDLE_SECONDS if self.owner.hurried else READ_TIMEOUT_SECONDS
+                self._set_timeout(limit, self.stop_waiting)
+            self.owner.request_started(self)
+        head = self.head_reader.read(self.buffer)
+        if head is None:
             if not self._memory_suffices():
                 self._refuse_for_memory()
-                return
-            if self.size > MAX_BODY_BYTES or (self.body.chunked and self.body.left > MAX_BODY_BYTES):
-                self._reject(Malformed("the body is too large", 413))
-                return
-            if not self.body.done:
-                return
-            now = self.owner.deadlines.clock.time()
-            self.pipelined_since = self.pipelined_since or now if len(self.buffer) else 0.0
-            self._handle_request(self.head, bytes(self.received_body))
+            return
+        if isinstance(head, Malformed):
+            self._reject(head)
+            return
+        body = body_of(head)
+        if isinstance(body, Malformed):
+            self._reject(body)
+            return
+        self.head, self.body = head, body
+        self.keep_alive = head.keep_alive
+        if body.left > MAX_BODY_BYTES:
+            self._reject(Malformed("the body is too large", 413))
+        elif head.headers.get("expect", "").lower() == "100-continue" and not body.done:
+            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _handle_request(self, head: Head, body: bytes) -> None:
         self._set_timeout(0)
@@ -475,6 +496,7 @@
         self.leaving = False  # shutting down: clients are asked to reconnect elsewhere
         self.hurried = False  # about to be killed: no further query is accepted
         self.last_accept_at = 0.0
+        self.turns = ReadTurns(core.deadlines.clock)
         # Decides whether a query shares its execution with others of the same idempotency key, and attaches it to
         # them; see edge/idempotency.py.
         self.share: Callable[[ClientLink, Head, bytes], Callable[[Query], None] | None] | None = None
@@ -511,6 +533,8 @@
                     return True
                 if not other.idle:
                     other.stop_waiting()
+                    if other.busy:
+                        continue
                     other.abort()
                     return True
         return False
@@ -528,7 +552,7 @@
     def free_memory(self, link: ClientLink) -> bool:
         """Incomplete queries that make no progress must not use up the memory of those that arrive completely."""
         for other in list(self.awaiting_request):
-            if other is not link and other.held_bytes:
+            if other is not link and other.held_bytes and not other.waiting_since:
                 other.stop_waiting()
                 if self.held_bytes <= self.max_held_bytes:
                     return True
--- a/pearstall/net/http1.py
+++ b/pearstall/net/http1.py
@@ -226,7 +226,8 @@
 class Body:
     """Reads one body from the buffer as it arrives; `done` once its end was read."""
 
-    __slots__ = ("left", "chunked", "until_close", "done", "in_trailer", "chunk_end_pending", "trailer_size", "error")
+    __slots__ = ("left", "chunked", "until_close", "done", "in_trailer", "chunk_end_pending", "trailer_size", "error",
+                 "unread_lines")  # fmt: skip
 
     def __init__(self, length: int = 0, chunked: bool = False, until_close: bool = False) -> None:
         self.left = length
@@ -236,10 +237,13 @@
         self.chunk_end_pending = False  # a chunk's data was read, the line end behind it was not
         self.trailer_size = 0  # bytes
         self.error: Malformed | None = None
+        self.unread_lines = False  # the last call stopped at its limit; the buffer contains more
         self.done = not (length or chunked or until_close)
 
-    def feed(self, buffer: Buffer) -> bytes | Malformed:
-        """The part of the body that the buffer contains, without the framing."""
+    def feed(self, buffer: Buffer, max_lines: int | None = None) -> bytes | Malformed:
+        """The part of the body that the buffer contains, without the framing. At most `max_lines` lines of framing
+        are read; `unread_lines` tells that there are more."""
+        self.unread_lines = False
         if self.error is not None:
             return self.error
         if self.done:
@@ -252,7 +256,11 @@
             self.done = self.left == 0
             return data
         parts: list[bytes] = []
+        lines = 0
         while not self.done:
+            if lines == max_lines:
+                self.unread_lines = True
+                break
             if self.left:
                 data = buffer.take(self.left)
                 if not data:
@@ -273,6 +281,7 @@
                     return self._set_error(parts, Malformed("a chunk's line can't be read"))
                 break
             line = buffer.take(end + 2)[:-2]
+            lines += 1
             if self.in_trailer:
                 self.trailer_size += len(line)
                 if self.trailer_size > MAX_HEAD_BYTES:
--- a/tests/test_bounded_work.py
+++ b/tests/test_bounded_work.py
@@ -42,6 +42,16 @@
         yield b"x" * 8
 
 
+def tiny_chunks(number: int) -> Iterator[bytes]:
+    """A body of tiny chunks."""
+    yield f"{REQUEST_LINE}X-Txn: bad{number}\r\nTransfer-Encoding: chunked\r\n\r\n".encode() + b"1\r\nx\r\n" * 10_000
+
+
+def refused_requests(number: int) -> Iterator[bytes]:
+    """Hundreds of whole requests of an unknown class at once."""
+    yield f"POST {PATH} HTTP/1.1\r\nX-Txn: bad{number}\r\nContent-Length: 2\r\n\r\n{{}}".encode() * 700
+
+
 async def bad_client(port: int, pieces: Iterator[bytes]) -> None:
     """Sends the pieces, reads what it is sent, and does the same again until it has been turned away."""
     with contextlib.suppress(OSError):
@@ -68,7 +78,7 @@
     return slowest
 
 
-@pytest.mark.parametrize("sent", [repeated_lines, head_in_pieces])
+@pytest.mark.parametrize("sent", [repeated_lines, head_in_pieces, tiny_chunks, refused_requests])
 def test_other_clients_are_answered_in_time(sent, tmp_path: Path) -> None:  # type: ignore[no-untyped-def]
     """The event loop stood still for seconds while it read what hundreds of bad clients had sent."""
 
