Do not take a refused first call to discovery for an outage: the old list stays unused

Cause: Router._on_list accepted the list of the start at any failed call but a fast first one. A call that waited too long ends with 503 as well, and discovery is reachable then.

Change: the connection tells the Router whether discovery answered with an error (ReplicaList.refused; the log says "discovery refused"). The list of a start is used without an answer only if two calls in a row get no connection within half a second, or 7.5 s after the start: nine in ten restarts have to be ready within 10 s. From the first refused call on, small groups hold requests too. The second call of a start comes 2.5 s after the first at the latest, without a further spread, so that it is answered before the 7.5 s are over. The front turns ready when the Router says so, also by a timer.

Not mended, as before: in groups of up to eight routers, requests that come before the first call has ended go by the old list; a crowd that refuses every call for 7.5 s makes the router use it.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -173,10 +173,15 @@
 SUBSCRIBE_SPAN_RETRY = 3 / 4
 SUBSCRIBE_JITTER = 0.05  # largest random change of a delay, as a part of it
 SUBSCRIBE_FAST_FAILURE_US = 500_000  # a first call that fails sooner may have met a passing fault
+UNREACHABLE_CALLS = 2  # consecutive calls without a connection that show an outage
 SUBSCRIBE_FAST_RETRY_US = 250_000  # and is repeated after this
 AGENT_RETRY_US = 50_000  # a lost watch is reopened after this where each gateway has an agent of its own
 AGENT_RETRY_MAX_US = 250_000  # doubled while that fails, up to this
+# The list of a start is of unknown age. If no call has brought a list this long after the start, it is used all the
+# same.
+INITIAL_FETCH_TIMEOUT_US = 7_500_000
 SUBSCRIBE_TAG = 1 << 60  # tag of the subscription timer; tags below it are request ids
+INITIAL_FETCH_TAG = SUBSCRIBE_TAG + 1  # tag of the timer for INITIAL_FETCH_TIMEOUT_US
 
 
 class _Attempt:
@@ -385,7 +390,10 @@
         self.subscribed = False
         self.subscribe_calls = 0  # since the last watch
         self.subscribe_called_at = 0  # the last of them
-        self.list_verified = not settings.subscribe  # by discovery, or by a call that found discovery unreachable
+        self.started_at = 0
+        self.list_verified = not settings.subscribe  # by discovery, or as discovery could not be reached
+        self.initial_fetch_failed = False  # a call was refused or waited too long, before the first list
+        self.unreachable_calls = 0  # consecutive ones before the first list
         self.subscribe_at = 0
         self._handlers: dict[type, Any] = {
             Request: self._on_request,
@@ -425,6 +433,7 @@
     def start(self, now: int) -> list[Action]:
         self.now = now
         self.actions = []
+        self.started_at = now
         self.interval_ends_at = now + self.interval
         if self.settings.subscribe:
             if self.settings.gateways <= SUBSCRIBE_AT_ONCE_GATEWAYS or self.settings.pushed:
@@ -484,7 +493,7 @@
     def _dispatch(self, pending: _PendingRequest) -> None:
         """Sends the next attempt of a request that has none in flight, queues the request, or ends it."""
         left = pending.useful_until - self.now
-        if not self.list_verified and left > 0 and self.settings.gateways > SUBSCRIBE_AT_ONCE_GATEWAYS:
+        if left > 0 and self._awaits_list():
             self._enqueue_until_list(pending, left)
             return
         if left <= 0 or len(pending.attempts) >= self.settings.max_attempts or not self._may_resend(pending):
@@ -633,12 +642,17 @@
         step = max(2 * self.settings.tick, self.shortest_aim // 10)
         self.actions.append(SetTimer(max(1, min(step, left)), pending.request.id))
 
-    def _enqueue_until_list(self, pending: _PendingRequest, left: int) -> None:
-        """Queues a request until the list is verified, and calls discovery if nothing did yet.
+    def _awaits_list(self) -> bool:
+        """Whether requests wait for the first list from discovery: the list cached at a start is of unknown age.
 
-        The list cached at a start is of unknown age: servers on it may have left while this gateway was down. A small
-        number of gateways call at once when they start, and have the answer before the first request.
+        A small number of gateways call at once when they start, and have the answer before the first request, unless
+        that call fails.
         """
+        small = self.settings.gateways <= SUBSCRIBE_AT_ONCE_GATEWAYS
+        return not self.list_verified and (self.initial_fetch_failed or not small)
+
+    def _enqueue_until_list(self, pending: _PendingRequest, left: int) -> None:
+        """Queues a request until the list is verified, and calls discovery if nothing did yet."""
         if not self.subscribe_calls:
             self._subscribe()
         self._enqueue(pending, left)
@@ -771,6 +785,9 @@
             if self.now >= self.subscribe_at and not self.subscribed:
                 self._subscribe()
             return
+        if timer.tag == INITIAL_FETCH_TAG:
+            self._verify_list()
+            return
         pending = self.pending.get(timer.tag)
         if pending is None or pending.answered or pending.streaming:
             return
@@ -1423,18 +1440,7 @@
     def _on_list(self, event: ReplicaList) -> None:
         if event.kind == ListKind.FAILED:
             if self.settings.subscribe:
-                if self.subscribed:
-                    self.subscribe_calls = 0
-                self.subscribed = False
-                if (
-                    self.subscribe_calls == 1
-                    and self.now - self.subscribe_called_at < SUBSCRIBE_FAST_FAILURE_US
-                    and not self.settings.pushed
-                ):
-                    self._subscribe_in(SUBSCRIBE_FAST_RETRY_US)
-                else:
-                    self._schedule_subscribe()
-                    self._verify_list()
+                self._on_failed_call(event)
             return
         if event.kind != ListKind.CACHED:
             self.subscribed = self.settings.subscribe
@@ -1462,6 +1468,28 @@
             replica.ring_index = place
         self._rebuild_pools()
 
+    def _on_failed_call(self, event: ReplicaList) -> None:
+        if self.subscribed:
+            self.subscribe_calls = 0
+        self.subscribed = False
+        fast = self.now - self.subscribe_called_at < SUBSCRIBE_FAST_FAILURE_US
+        if self.subscribe_calls == 1 and fast and not self.settings.pushed:
+            self._subscribe_in(SUBSCRIBE_FAST_RETRY_US)
+        else:
+            self._schedule_subscribe()
+        if not self.list_verified:
+            self._on_failed_initial_fetch(unreachable=fast and not event.refused)
+
+    def _on_failed_initial_fetch(self, unreachable: bool) -> None:
+        """A call that was refused or waited too long is no sign of an outage: discovery may have too many callers."""
+        self.unreachable_calls = self.unreachable_calls + 1 if unreachable else 0
+        if self.unreachable_calls >= UNREACHABLE_CALLS:
+            self._verify_list()
+        elif not unreachable and not self.initial_fetch_failed:
+            self.initial_fetch_failed = True
+            left = self.started_at + INITIAL_FETCH_TIMEOUT_US - self.now
+            self.actions.append(SetTimer(max(1, left), INITIAL_FETCH_TAG))
+
     def _verify_list(self) -> None:
         """Accepts the cached list, as discovery could not be reached."""
         if not self.list_verified:
@@ -1490,6 +1518,8 @@
         delay = self.random() * span
         if number >= 0:
             previous_span = self._subscribe_span(self.subscribe_calls - 1, first_span)
+            if not self.list_verified and self.subscribe_calls == 1:
+                span = previous_span  # the second call is answered before the list of the start is used
             place = (number % self.settings.gateways + 0.5) / self.settings.gateways
             delay = previous_span - (self.now - self.subscribe_called_at) if self.subscribe_calls else 0.0
             delay = (delay + place * (span - previous_span)) * (1 + SUBSCRIBE_JITTER * (2 * self.random() - 1))
--- a/pearstall/interface.py
+++ b/pearstall/interface.py
@@ -258,6 +258,7 @@
 
     kind: int  # a `ListKind`
     replicas: Sequence[Replica] = ()
+    refused: bool = False  # with FAILED: discovery answered the call with an error, so it can be reached
 
 
 @dataclass(slots=True)
--- a/pearstall/models/mutants.py
+++ b/pearstall/models/mutants.py
@@ -200,7 +200,7 @@
     ),
     Mutant(
         "a broken watch isn't asked for again",
-        ROUTER + "_on_list",
+        ROUTER + "_on_failed_call",
         "self.subscribed = False",
         "pass",
         "list",
--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -138,7 +138,7 @@
         if watch is self.watch:
             self.watch = None
             self.core.log.event("watch_ended", why=why, lines=watch.lines_read, silent_ms=watch.silent_ms)
-            self.core.listed(ReplicaList(ListKind.FAILED))
+            self.core.listed(ReplicaList(ListKind.FAILED, refused=watch.refused))
             self.on_change()
 
     # -- inventory ----------------------------------------------------------------------------------------
@@ -169,6 +169,7 @@
         self.deadline: Deadline | None = None
         self.closed = False
         self.lines_read = 0
+        self.refused = False  # discovery answered with an error
         self.received_list = False  # a whole list, or the changes since the index in the request
         self.last_line_at = 0.0
 
@@ -207,7 +208,7 @@
             return
         try:
             if not self._read():
-                self.fail("what came is no list, or it has ended")
+                self.fail("discovery refused" if self.refused else "what came is no list, or it has ended")
         except Exception as error:  # ends this watch only: the current list stays
             self.cluster.core.counters.exceptions += 1
             log_exception(self.cluster.core.log, error)
@@ -219,7 +220,10 @@
             head = self.head_reader.read(self.buffer)
             if head is None:
                 return True
-            if isinstance(head, Malformed) or head.status >= 300:
+            if isinstance(head, Malformed):
+                return False
+            if head.status >= 300:
+                self.refused = True
                 return False
             if head.status == 200:
                 body = body_of(head)
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -203,6 +203,8 @@
         self.last_query_at = 0.0
         self.open_ids: set[str] = set()  # client-supplied ids of the queries in `queries`
         self.router = Router(settings, seed)
+        self.list_verified = False  # the Router uses its list
+        self.on_list_verified: Callable[[], None] = lambda: None
         self.events: deque[Event] = deque()
         self.dispatching = False
         self.watch: Callable[[bool], None] = lambda on: None
@@ -239,6 +241,9 @@
                 if self.trace is not None:
                     self.trace(event, actions)
                 self._carry_out(actions)
+                if not self.list_verified and self.router.list_verified:
+                    self.list_verified = True
+                    self.on_list_verified()
         finally:
             self.dispatching = False
 
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -142,6 +142,7 @@
             servers=len(self.config.known.hosts),
         )
         self.cluster.on_change = self._listed
+        self.core.on_list_verified = self._listed
         self.core.start()
         if self.config.known.hosts:
             self.cluster.take(self.config.known, ListKind.CACHED)
--- a/tests/test_restart_membership.py
+++ b/tests/test_restart_membership.py
@@ -9,18 +9,20 @@
 
 import pytest
 
-from pearstall.choice import SUBSCRIBE_TAG, Router
+from pearstall.choice import INITIAL_FETCH_TAG, INITIAL_FETCH_TIMEOUT_US, SUBSCRIBE_TAG, Router
 from pearstall.interface import ListKind, Replica, ReplicaList, Request, Send, SetTimer, State, Subscribe, Timer
 from pearstall.lab.processes import RouterProcess
 from pearstall.lab.rig import free_ports
 from pearstall.lab.servers import LOCAL, Behaviour, ExecutionLog, StandIn
-from pearstall.lab.stations import Discovery
+from pearstall.lab.stations import Discovery, WatchConnection
 from tests.net_support import Client, setup
 from tests.support import MS, S, settings
 
 ROUTERS = 200
 LAST = ROUTERS - 1  # the last of the group to call discovery after a start
 DRAIN_GRACE_SECONDS = 0.5
+CALL_WAITS_SECONDS = 0.9  # at a discovery with many callers
+CALL_WAITS_US = 900 * MS
 OBLIGATIONS = {"mustAskIn": 10_000_000, "cold": 21_000_000, "coldShare": 0.12, "tipMultiple": 3.0}
 
 
@@ -91,3 +93,106 @@
     assert Subscribe() in router.handle(called_again_at, Timer(SUBSCRIBE_TAG))
     sent = router.handle(called_again_at + MS, ReplicaList(ListKind.FAILED))  # discovery can't be reached
     assert router.list_verified and any(isinstance(action, Send) for action in sent)
+
+
+class CrowdedDiscovery(Discovery):
+    """Refuses the first calls, each after it has waited for a while, and serves the others after they have waited."""
+
+    def __init__(self, address: tuple[str, int], refused_calls: int) -> None:
+        super().__init__(address)
+        self.refused_calls = refused_calls
+
+    async def start(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(lambda: CrowdedWatch(self), *self.address)
+
+
+class CrowdedWatch(WatchConnection):
+    def __init__(self, owner: CrowdedDiscovery) -> None:
+        super().__init__(owner)
+        self.crowded = owner
+
+    def data_received(self, data: bytes) -> None:
+        serve = super().data_received
+        if self.crowded.refused_calls:
+            self.crowded.refused_calls -= 1
+            serve = self._refuse
+        asyncio.get_running_loop().call_later(CALL_WAITS_SECONDS, serve, data)
+
+    def _refuse(self, data: bytes) -> None:
+        assert self.transport is not None
+        self.transport.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+        self.transport.close()
+
+
+@pytest.mark.parametrize("refused_calls", [1, 2])
+def test_a_refused_call_does_not_make_the_list_of_a_restart_current(refused_calls: int, tmp_path: Path) -> None:
+    """A router was ready after its first refused call, and sent requests to servers that had begun to drain."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            books = ExecutionLog()
+            fast = Behaviour(first=(0.0, 0.005), events=(2, 3))
+            servers = [
+                await stack.enter_async_context(StandIn(number, books, fast, 1, "platform").listening())
+                for number in range(2)
+            ]
+            discovery = CrowdedDiscovery((LOCAL, free_ports(1)[0]), refused_calls)
+            for server in servers:
+                discovery.put(row(server, "ready"))
+            await discovery.start()
+            known = {"index": discovery.index, "snapshot": True, "endpoints": [row(one, "ready") for one in servers]}
+            router = RouterProcess(
+                tmp_path,
+                {
+                    "discovery": f"{LOCAL}:{discovery.address[1]}",
+                    "known": known,
+                    "settings": setup(groupSize=4, me=0, obligations=OBLIGATIONS),
+                },
+            )
+            stack.callback(router.kill)
+            discovery.put(row(servers[0], "draining"))  # while the router is down
+            router.start()
+            await router.until_health(200, 20)
+            results: list[str] = []
+            clients = [Client("platform", router.port, f"c{number}-") for number in range(4)]
+            end = asyncio.get_running_loop().time() + 2.0
+            await asyncio.gather(*(ask_until(client, results, end) for client in clients))
+            assert not [one for made in books.by_txn.values() for one in made if one.server == 0]
+            assert "served" in results and "lost" not in results
+
+    asyncio.run(scene())
+
+
+def restarted(gateways: int, gateway: int = 0) -> Router:
+    router = Router(settings(gateways=gateways, gateway=gateway, subscribe=True, must_ask_in=10 * S), seed=1)
+    router.start(0)
+    router.handle(0, ReplicaList(ListKind.CACHED, [Replica(1, 0, 0, State.READY)]))
+    return router
+
+
+@pytest.mark.parametrize("call_us", [MS, S])  # refused at once, or after it has waited
+def test_requests_wait_for_the_first_list_as_long_as_calls_are_refused(call_us: int) -> None:
+    router = restarted(gateways=4)
+    for called_at in (0, 3 * S, 6 * S):
+        router.handle(called_at, Timer(SUBSCRIBE_TAG))
+        router.handle(called_at + call_us, ReplicaList(ListKind.FAILED, refused=True))
+        assert not router.list_verified
+    actions = router.handle(7 * S, Request(1, 0, 12 * S, 50.0))
+    assert not any(isinstance(action, Send) for action in actions)
+    # Discovery has been out of reach for as long as a restart may take: the list of the start is the best there is.
+    actions = router.handle(INITIAL_FETCH_TIMEOUT_US, Timer(INITIAL_FETCH_TAG))
+    actions += router.handle(INITIAL_FETCH_TIMEOUT_US + MS, Timer(1))
+    assert router.list_verified and any(isinstance(action, Send) for action in actions)
+
+
+@pytest.mark.parametrize("gateways", [4, 30, 200])
+def test_the_second_call_is_answered_before_the_list_of_the_start_is_used(gateways: int) -> None:
+    router = Router(settings(gateways=gateways, gateway=gateways - 1, subscribe=True, must_ask_in=10 * S), seed=1)
+    first = [action for action in router.start(0) if isinstance(action, SetTimer)]
+    called_at = 0 if gateways == 4 else max(action.delay for action in first)
+    router.handle(called_at, Timer(SUBSCRIBE_TAG))
+    refused_at = called_at + CALL_WAITS_US
+    actions = router.handle(refused_at, ReplicaList(ListKind.FAILED, refused=True))
+    (again,) = (action for action in actions if isinstance(action, SetTimer) and action.tag == SUBSCRIBE_TAG)
+    assert refused_at + again.delay + CALL_WAITS_US < INITIAL_FETCH_TIMEOUT_US
