Join a list that spans lines once, not at each of its lines

Cause: WatchLink added each line to a bytes object, which copies the message so far every time.

Change: the lines are collected in a bytearray.

Test: test_a_long_indented_list_is_read_before_its_changes_count, 12,000 entries within the 6 s after which a change counts.

--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -160,7 +160,7 @@
         self.address = address
         self.buffer = Buffer()
         self.lines = Buffer()
-        self.partial_message = b""  # the lines so far of a message that spans several lines
+        self.partial_message = bytearray()  # the lines so far of a message that spans several lines
         self.first_indent = 0  # indentation of that message's first line
         self.head_reader = HeadReader(response=True)
         self.body: Body | None = None
@@ -260,10 +260,10 @@
             b"}"
         ):  # the last line is a closing brace, indented as the first line
             return len(self.partial_message) <= MAX_MESSAGE_BYTES
-        update = read_host_list(self.partial_message)
+        message, self.partial_message = bytes(self.partial_message), bytearray()
+        update = read_host_list(message)
         if isinstance(update, BadList):
             return False
-        self.partial_message = b""
         self.received_list = True
         self.cluster.take(update, ListKind.FULL if update.snapshot else ListKind.DELTA)
         return True
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -8,6 +8,7 @@
 import signal
 import subprocess
 import sys
+import time
 from contextlib import AsyncExitStack
 from pathlib import Path
 from typing import Any
@@ -21,6 +22,8 @@
 from tests.net_support import LOCAL, Client, ModelServer, Wire, free_port, running, setup, until
 
 ROOT = Path(__file__).parent.parent
+INDENTED_ENTRIES = 12_000
+CHANGE_COUNTS_SECONDS = 6.0  # after it was made, whether or not the router has read it
 GOOD: dict[str, Any] = {"name": "s1", "address": "127.0.0.1:7070", "zone": "a", "type": "m1", "group": 3}
 
 
@@ -171,6 +174,25 @@
     asyncio.run(scene())
 
 
+def test_a_long_indented_list_is_read_before_its_changes_count(tmp_path: Path) -> None:
+    """Each line was joined to all lines before it, which copied the whole message for every line."""
+
+    async def scene() -> None:
+        entries = [GOOD | {"name": f"s{number}"} for number in range(INDENTED_ENTRIES)]
+        lines = json.dumps(json.loads(message(*entries, index=6)), indent=8).encode().split(b"\n")
+        blocks = [b"\n".join(lines[at : at + 1000]) for at in range(0, len(lines), 1000)]
+        listener = await asyncio.start_server(Discovery(blocks).link, LOCAL, 0)
+        port = listener.sockets[0].getsockname()[1]
+        began_at = time.monotonic()
+        async with running(tmp_path, [], discovery=port) as (program, _):
+            await until(lambda: program.cluster.index == 6)
+            assert time.monotonic() - began_at < CHANGE_COUNTS_SECONDS
+            assert len(program.cluster.addresses) == INDENTED_ENTRIES
+        listener.close()
+
+    asyncio.run(scene())
+
+
 def test_a_silent_watch_fails_and_is_opened_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr("pearstall.net.cluster.WATCH_SILENCE_SECONDS", 0.1)
 
