Stop reading from a client while 256 KiB of its answers are unsent

Cause: each request of a connection was read and answered at once, however many answers lay unread in the connection's write buffer; only streams were held up. 4.9 MB came together in 1.5 s of pipelined requests of a path that does not exist.

Change: beyond 256 KiB the next request is not read, and reading pauses, until the client has read some. The read timeout ends one that never does. A connection whose waiting input was read and answered in stop_waiting is not closed a second time.

Test: test_answers_that_a_client_does_not_read_are_bounded; before, 4,904,376 bytes where 263,168 are allowed. All answers still come.

--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -24,6 +24,7 @@
 READ_TIMEOUT_SECONDS = 2.4  # for a complete query, from its first byte; for the first one, from the accept
 IDLE_TIMEOUT_SECONDS = 4.0  # between two queries
 EVICTION_GRACE_SECONDS = 0.3  # a connection younger than this is not evicted for lack of a query
+MAX_UNSENT_BYTES = 256 * 1024  # of answers; beyond, the client's next queries are not read until it has read some
 WRITE_BUFFER_BYTES = 64 * 1024  # unsent bytes towards a client at which reading from its model server pauses
 SHUTDOWN_IDLE_SECONDS = 0.1  # for the next query of a connection, once the process is shutting down
 LINGER_SECONDS = 1.0  # a closed connection is drained this long before it is aborted
@@ -140,8 +141,8 @@
             self.abort()
             return
         self.owner.turns.read_now(self)
-        if self.busy:
-            return  # the query had arrived, and only waited to be read
+        if self.busy or self.closing:
+            return  # a query had arrived, and only waited to be read
         if self.unsent:
             self._linger()  # the client may still read the previous answer
         elif self.idle:
@@ -224,6 +225,10 @@
         """Handles what has arrived, up to the end of one query."""
         if self.closing or self.busy:
             return
+        if self.unsent > MAX_UNSENT_BYTES:
+            self.waiting_since = self.waiting_since or now
+            self._pause_reading(True)  # until resume_writing
+            return
         self._pause_reading(False)
         arrived_at, self.waiting_since = self.waiting_since or now, 0.0
         try:
@@ -479,6 +484,8 @@
         self.write_paused = False
         if self.query is not None:
             self.holder.pause(self.query.handle, False)
+        elif self.waiting_since:
+            self.owner.turns.add(self)
 
 
 class ClientLinks:
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -14,6 +14,7 @@
 from pearstall.lab.servers import LOCAL, Behaviour, ExecutionLog, StandIn
 from pearstall.lab.stations import Discovery
 from pearstall.net.buffer import INITIAL_BYTES
+from pearstall.net.client_link import MAX_UNSENT_BYTES
 from tests.net_support import HEAD, PATH, Client, ModelServer, running, setup, until
 from tests.test_restart_membership import row
 
@@ -144,3 +145,29 @@
         listener.close()
 
     asyncio.run(scene())
+
+
+def test_answers_that_a_client_does_not_read_are_bounded(tmp_path: Path) -> None:
+    """Each request on a connection was answered, however many answers lay unread in the write buffer."""
+    requests = b"GET /nothing HTTP/1.1\r\n\r\n" * 500
+
+    async def scene() -> None:
+        async with running(tmp_path, []) as (program, ports):
+            reader, writer = await asyncio.open_connection(LOCAL, ports["platform"], limit=1 << 10)
+            writer.transport.set_write_buffer_limits(0)
+            sent = 0
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(1.5):
+                    while True:
+                        writer.write(requests)
+                        sent += 500
+                        await writer.drain()
+            (link,) = program.clients.links
+            answer_bytes = 1024
+            assert MAX_UNSENT_BYTES < link.unsent <= MAX_UNSENT_BYTES + answer_bytes
+            answers = 0
+            while answers < sent:
+                answers += (await reader.readuntil(b"no such path\n")).count(b"HTTP/1.1 404")
+            writer.close()
+
+    asyncio.run(scene())
