--- a/tests/test_restart_membership.py
+++ b/tests/test_restart_membership.py
@@ -31,6 +31,20 @@
             "status": status, "weight": 1.0, "since_ms": 0}  # fmt: skip
 
 
+async def two_servers(stack: AsyncExitStack, books: ExecutionLog) -> list[StandIn]:
+    fast = Behaviour(first=(0.0, 0.005), events=(2, 3))
+    servers = (StandIn(number, books, fast, 1, "platform") for number in range(2))
+    return [await stack.enter_async_context(server.listening()) for server in servers]
+
+
+async def list_servers(discovery: Discovery, servers: list[StandIn]) -> dict[str, Any]:
+    """Starts discovery with these servers, and returns the list that a router gets with its configuration."""
+    for server in servers:
+        discovery.put(row(server, "ready"))
+    await discovery.start()
+    return {"index": discovery.index, "snapshot": True, "endpoints": [row(one, "ready") for one in servers]}
+
+
 async def ask_until(client: Client, results: list[str], end: float) -> None:
     """Sends one request after another; the router may close the connection between them."""
     while asyncio.get_running_loop().time() < end:
@@ -47,16 +61,9 @@
     async def scene() -> None:
         async with AsyncExitStack() as stack:
             books = ExecutionLog()
-            fast = Behaviour(first=(0.0, 0.005), events=(2, 3))
-            servers = [
-                await stack.enter_async_context(StandIn(number, books, fast, 1, "platform").listening())
-                for number in range(2)
-            ]
+            servers = await two_servers(stack, books)
             discovery = Discovery((LOCAL, free_ports(1)[0]))
-            for server in servers:
-                discovery.put(row(server, "ready"))
-            await discovery.start()
-            known = {"index": discovery.index, "snapshot": True, "endpoints": [row(one, "ready") for one in servers]}
+            known = await list_servers(discovery, servers)
             settings = setup(groupSize=ROUTERS, me=LAST, obligations=OBLIGATIONS)
             router = RouterProcess(
                 tmp_path, {"discovery": f"{LOCAL}:{discovery.address[1]}", "known": known, "settings": settings}
@@ -132,16 +139,9 @@
     async def scene() -> None:
         async with AsyncExitStack() as stack:
             books = ExecutionLog()
-            fast = Behaviour(first=(0.0, 0.005), events=(2, 3))
-            servers = [
-                await stack.enter_async_context(StandIn(number, books, fast, 1, "platform").listening())
-                for number in range(2)
-            ]
+            servers = await two_servers(stack, books)
             discovery = CrowdedDiscovery((LOCAL, free_ports(1)[0]), refused_calls)
-            for server in servers:
-                discovery.put(row(server, "ready"))
-            await discovery.start()
-            known = {"index": discovery.index, "snapshot": True, "endpoints": [row(one, "ready") for one in servers]}
+            known = await list_servers(discovery, servers)
             router = RouterProcess(
                 tmp_path,
                 {
