Keep connections that are ended for memory from ending each other

What callers would see: a connection closed unanswered while its input was read, when memory is short and many bodies come in tiny chunks.

Cause: free_memory ends incomplete queries by stop_waiting, which first reads what waits of them.

Change: while connections are being ended for memory, one that runs short of it is refused and ends no others.

--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -496,6 +496,7 @@
         self.max_links = max_links
         self.max_held_bytes = 16 << 20
         self.held_bytes = 0  # for all connections: what came and was not parsed, heads, bodies, collected answers
+        self.freeing_memory = False
         self.links: Slots[ClientLink] = Slots()
         # Oldest first: connections whose request is not complete, with the time since when, and idle ones.
         self.awaiting_request: dict[ClientLink, float] = {}
@@ -558,12 +559,18 @@
 
     def free_memory(self, link: ClientLink) -> bool:
         """Incomplete queries that make no progress must not use up the memory of those that arrive completely."""
-        for other in list(self.awaiting_request):
-            if other is not link and other.held_bytes and not other.waiting_since:
-                other.stop_waiting()
-                if self.held_bytes <= self.max_held_bytes:
-                    return True
-        return False
+        if self.freeing_memory:
+            return False  # one that is to be ended is read first, and must not end others in turn
+        self.freeing_memory = True
+        try:
+            for other in list(self.awaiting_request):
+                if other is not link and other.held_bytes and not other.waiting_since:
+                    other.stop_waiting()
+                    if self.held_bytes <= self.max_held_bytes:
+                        return True
+            return False
+        finally:
+            self.freeing_memory = False
 
     def request_started(self, link: ClientLink) -> None:
         self.between_requests.pop(link, None)
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -87,6 +87,27 @@
     asyncio.run(scene())
 
 
+def test_connections_that_are_ended_for_memory_do_not_end_each_other(tmp_path: Path) -> None:
+    """One that was ended was read first, ran short of memory itself, and ended the one for which room was made."""
+
+    async def scene() -> None:
+        servers = [ModelServer("platform")]
+        async with servers[0].listening(), running(tmp_path, servers) as (program, ports):
+            program.clients.max_held_bytes = 4 << 20
+            bad = [bad_client(ports["platform"], chunked_body(number)) for number in range(200)]
+            await asyncio.gather(*bad)
+            assert program.counters.malformed and not program.counters.exceptions
+            assert (await Client("platform", ports["platform"]).ask())[0] == "served"
+
+    asyncio.run(scene())
+
+
+def chunked_body(number: int) -> bytes:
+    """Tiny chunks, more than are read in one turn."""
+    head = f"{REQUEST_LINE}X-Txn: bad{number}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    return head.encode() + b"1\r\nx\r\n" * 10_000
+
+
 def request(number: int, body_bytes: int) -> bytes:
     body = b'{"x":"' + b"x" * body_bytes + b'"}'
     return f"{REQUEST_LINE}X-Txn: t{number}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
