--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -243,6 +243,10 @@
                 continue
             await self.watch(target, writer)
 
+    async def write_line(self, writer: asyncio.StreamWriter, line: bytes) -> None:
+        writer.write(chunk(line))
+        await writer.drain()
+
     async def watch(self, target: str, writer: asyncio.StreamWriter) -> None:
         _, known, after = target.partition("index=")
         if known:
@@ -256,8 +260,7 @@
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             message: dict[str, Any] | None = first
             while True:
-                writer.write(chunk(self.encode(message) if message is not None else b"\n"))
-                await writer.drain()
+                await self.write_line(writer, self.encode(message) if message is not None else b"\n")
                 for row in message["endpoints"] if message is not None else ():
                     self.told.setdefault(f"{row['name']} {row['status']}", time.monotonic())
                     self.record.write(f"{self.name} wrote: {row['name']} is {row['status']}")
