--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -193,7 +193,8 @@
             for n in range(self.words)
         ]
         rows[-1]["choices"][0]["finish_reason"] = "stop"
-        usage = {"prompt_tokens": 100, "completion_tokens": self.words, "prompt_tokens_details": {"cached_tokens": 0}}
+        tokens = sum(len(row["choices"][0]["delta"]["content"]) for row in rows) // 4
+        usage = {"prompt_tokens": 100, "completion_tokens": tokens, "prompt_tokens_details": {"cached_tokens": 0}}
         rows.append({"choices": [], "usage": usage})
         texts = [json.dumps(row, separators=(",", ":")) for row in rows] + ["[DONE]"]
         return [f"data: {text}\n\n".encode() for text in texts]
