--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -1,4 +1,5 @@
-"""Every decision of a gateway. Its interface (settings, events and actions) is pearstall/interface.py.
+"""Every decision of a gateway. Its interface (settings, events and actions) is pearstall/interface.py; when it calls
+discovery is decided in pearstall/discovery.py.
 
 A gateway makes one `Router(settings, seed)`, calls `start(now)` once, then `handle(now, event)` for each event, and
 carries out the returned actions in order. The router keeps no clock, does no I/O and shares nothing: the same seed
@@ -18,6 +19,7 @@
 from random import Random
 from typing import Any
 
+from pearstall.discovery import INITIAL_FETCH_TAG, SUBSCRIBE_TAG, Subscription
 from pearstall.interface import (
     NEVER_RAN,
     Action,
@@ -41,7 +43,6 @@
     SetTimer,
     Settings,
     State,
-    Subscribe,
     Timer,
 )
 
@@ -161,28 +162,6 @@
 CONNECT_BACKOFF_FIRST_AIMS = 0.25  # shortest aims for which the first refused connect keeps a replica out of the pick
 CONNECT_BACKOFF_MAX_AIMS = 8.0  # doubled at each consecutive refusal, up to this many shortest aims
 
-# Subscriptions to discovery.
-# A gateway counts as notified of a change this long after discovery had it and could be reached, received or not.
-LIST_CHANGE_DEADLINE_US = 6_000_000
-# The spans below, over which calls are spread, are parts of that time. Each gateway has its own place in a span.
-SUBSCRIBE_SPAN_PER_GATEWAY = 1 / 60  # the span grows by this for each gateway
-SUBSCRIBE_AT_ONCE_GATEWAYS = 8  # up to this many gateways all call at once when they start
-SUBSCRIBE_SPAN_START = 2 / 3  # longest span when gateways start
-SUBSCRIBE_SPAN_LOST = 5 / 12  # longest span when watches end; noticing that a watch has fallen silent takes as long
-# Longest span while calls fail, for however long: whenever discovery comes back, the next call is within this time.
-SUBSCRIBE_SPAN_RETRY = 3 / 4
-SUBSCRIBE_JITTER = 0.05  # largest random change of a delay, as a part of it
-SUBSCRIBE_FAST_FAILURE_US = 500_000  # a first call that fails sooner may have met a passing fault
-UNREACHABLE_CALLS = 2  # consecutive calls without a connection that show an outage
-SUBSCRIBE_FAST_RETRY_US = 250_000  # and is repeated after this
-AGENT_RETRY_US = 50_000  # a lost watch is reopened after this where each gateway has an agent of its own
-AGENT_RETRY_MAX_US = 250_000  # doubled while that fails, up to this
-# The list of a start is of unknown age. If no call has brought a list this long after the start, it is used all the
-# same.
-INITIAL_FETCH_TIMEOUT_US = 7_500_000
-SUBSCRIBE_TAG = 1 << 60  # tag of the subscription timer; tags below it are request ids
-INITIAL_FETCH_TAG = SUBSCRIBE_TAG + 1  # tag of the timer for INITIAL_FETCH_TIMEOUT_US
-
 
 class _Attempt:
     """One sending of a request to a replica. `replica` stays valid after the list has dropped it."""
@@ -387,14 +366,7 @@
         self.cold: list[_Replica] = []  # ready, and started less than cold_time ago
         self.expired_allowance = 0  # requests of expired warm-up budgets that may still be sent in the current period
         self.expired_allowance_period = -1
-        self.subscribed = False
-        self.subscribe_calls = 0  # since the last watch
-        self.subscribe_called_at = 0  # the last of them
-        self.started_at = 0
-        self.list_verified = not settings.subscribe  # by discovery, or as discovery could not be reached
-        self.initial_fetch_failed = False  # a call was refused or waited too long, before the first list
-        self.unreachable_calls = 0  # consecutive ones before the first list
-        self.subscribe_at = 0
+        self.subscription = Subscription(settings, self.random)
         self._handlers: dict[type, Any] = {
             Request: self._on_request,
             FirstToken: self._on_first_token,
@@ -429,17 +401,12 @@
             self.tenant_request_share[old] if old >= 0 else shares[new] for new, old in enumerate(tenants)
         ]
         self._apply_settings(settings)
+        self.subscription.settings = settings
 
     def start(self, now: int) -> list[Action]:
         self.now = now
-        self.actions = []
-        self.started_at = now
         self.interval_ends_at = now + self.interval
-        if self.settings.subscribe:
-            if self.settings.gateways <= SUBSCRIBE_AT_ONCE_GATEWAYS or self.settings.pushed:
-                self._subscribe()
-            else:
-                self._schedule_subscribe(SUBSCRIBE_SPAN_START)
+        self.actions = self.subscription.start(now)
         return self.actions
 
     def handle(self, now: int, event: Event) -> list[Action]:
@@ -493,7 +460,7 @@
     def _dispatch(self, pending: _PendingRequest) -> None:
         """Sends the next attempt of a request that has none in flight, queues the request, or ends it."""
         left = pending.useful_until - self.now
-        if left > 0 and self._awaits_list():
+        if left > 0 and self.subscription.awaits_list:
             self._enqueue_until_list(pending, left)
             return
         if left <= 0 or len(pending.attempts) >= self.settings.max_attempts or not self._may_resend(pending):
@@ -642,19 +609,9 @@
         step = max(2 * self.settings.tick, self.shortest_aim // 10)
         self.actions.append(SetTimer(max(1, min(step, left)), pending.request.id))
 
-    def _awaits_list(self) -> bool:
-        """Whether requests wait for the first list from discovery: the list cached at a start is of unknown age.
-
-        A small number of gateways call at once when they start, and have the answer before the first request, unless
-        that call fails.
-        """
-        small = self.settings.gateways <= SUBSCRIBE_AT_ONCE_GATEWAYS
-        return not self.list_verified and (self.initial_fetch_failed or not small)
-
     def _enqueue_until_list(self, pending: _PendingRequest, left: int) -> None:
         """Queues a request until the list is verified, and calls discovery if nothing did yet."""
-        if not self.subscribe_calls:
-            self._subscribe()
+        self.actions += self.subscription.call_if_none_yet(self.now)
         self._enqueue(pending, left)
 
     def _refuse_or_fail(self, pending: _PendingRequest, why: str) -> None:
@@ -782,11 +739,12 @@
 
     def _on_timer(self, timer: Timer) -> None:
         if timer.tag == SUBSCRIBE_TAG:
-            if self.now >= self.subscribe_at and not self.subscribed:
-                self._subscribe()
+            self.actions += self.subscription.on_timer(self.now)
             return
         if timer.tag == INITIAL_FETCH_TAG:
-            self._verify_list()
+            if not self.list_verified:
+                self.subscription.on_initial_fetch_timeout()
+                self._rebuild_pools()
             return
         pending = self.pending.get(timer.tag)
         if pending is None or pending.answered or pending.streaming:
@@ -1443,8 +1401,7 @@
                 self._on_failed_call(event)
             return
         if event.kind != ListKind.CACHED:
-            self.subscribed = self.settings.subscribe
-            self.list_verified = True
+            self.subscription.on_list()
         if event.kind != ListKind.DELTA:
             named = {entry.id for entry in event.replicas}
             for id in [id for id in self.replicas if id not in named]:
@@ -1469,70 +1426,12 @@
         self._rebuild_pools()
 
     def _on_failed_call(self, event: ReplicaList) -> None:
-        if self.subscribed:
-            self.subscribe_calls = 0
-        self.subscribed = False
-        fast = self.now - self.subscribe_called_at < SUBSCRIBE_FAST_FAILURE_US
-        if self.subscribe_calls == 1 and fast and not self.settings.pushed:
-            self._subscribe_in(SUBSCRIBE_FAST_RETRY_US)
-        else:
-            self._schedule_subscribe()
-        if not self.list_verified:
-            self._on_failed_initial_fetch(unreachable=fast and not event.refused)
-
-    def _on_failed_initial_fetch(self, unreachable: bool) -> None:
-        """A call that was refused or waited too long is no sign of an outage: discovery may have too many callers."""
-        self.unreachable_calls = self.unreachable_calls + 1 if unreachable else 0
-        if self.unreachable_calls >= UNREACHABLE_CALLS:
-            self._verify_list()
-        elif not unreachable and not self.initial_fetch_failed:
-            self.initial_fetch_failed = True
-            left = self.started_at + INITIAL_FETCH_TIMEOUT_US - self.now
-            self.actions.append(SetTimer(max(1, left), INITIAL_FETCH_TAG))
-
-    def _verify_list(self) -> None:
-        """Accepts the cached list, as discovery could not be reached."""
-        if not self.list_verified:
-            self.list_verified = True
+        verified_before = self.list_verified
+        self.actions += self.subscription.on_failure(self.now, event.refused)
+        if self.list_verified and not verified_before:
             self._rebuild_pools()
 
-    def _subscribe(self) -> None:
-        """Calls discovery, and sets the timer of a further call."""
-        self.actions.append(Subscribe())
-        self.subscribe_calls += 1
-        self.subscribe_called_at = self.now
-        self._subscribe_in(self.settings.must_ask_in // 2)  # in case no answer comes at all
-
-    def _schedule_subscribe(self, first_span: float = SUBSCRIBE_SPAN_LOST) -> None:
-        """Schedules the next call: first within a short span, to learn of changes soon, then within one that is long
-        enough for all gateways to be served.
-
-        Gateways that start or lose their watches together call one after the other, each in the order of its number.
-        A call that waits too long is served in vain, and where too many coincide by chance, that happens to all of
-        them and doesn't end.
-        """
-        if self.settings.pushed:  # no other gateway uses the agent, and its changes count as received at once
-            self._subscribe_in(min(AGENT_RETRY_MAX_US, AGENT_RETRY_US << min(self.subscribe_calls, 9)))
-            return
-        span, number = self._subscribe_span(self.subscribe_calls, first_span), self.settings.gateway
-        delay = self.random() * span
-        if number >= 0:
-            previous_span = self._subscribe_span(self.subscribe_calls - 1, first_span)
-            if not self.list_verified and self.subscribe_calls == 1:
-                span = previous_span  # the second call is answered before the list of the start is used
-            place = (number % self.settings.gateways + 0.5) / self.settings.gateways
-            delay = previous_span - (self.now - self.subscribe_called_at) if self.subscribe_calls else 0.0
-            delay = (delay + place * (span - previous_span)) * (1 + SUBSCRIBE_JITTER * (2 * self.random() - 1))
-        self._subscribe_in(max(1, int(delay)))
-
-    def _subscribe_span(self, calls: int, first_span: float) -> float:
-        """Microseconds over which the gateways spread the call that follows this number of failed ones."""
-        by_gateways = SUBSCRIBE_SPAN_PER_GATEWAY * self.settings.gateways
-        limit = first_span if calls < 1 else SUBSCRIBE_SPAN_RETRY
-        deadline = min(LIST_CHANGE_DEADLINE_US, self.settings.must_ask_in)
-        return deadline * min(limit, by_gateways * 2.0 ** min(calls, 9)) if calls >= 0 else 0.0
-
-    def _subscribe_in(self, delay: int) -> None:
-        """Sets the timer of the next call."""
-        self.subscribe_at = self.now + delay
-        self.actions.append(SetTimer(delay, SUBSCRIBE_TAG))
+    @property
+    def list_verified(self) -> bool:
+        """Whether the list comes from discovery, or is used as discovery could not be reached."""
+        return self.subscription.list_verified
--- /dev/null
+++ b/pearstall/discovery.py
@@ -0,0 +1,151 @@
+"""When a gateway calls discovery, and whether it may use the list of replicas that it has.
+
+Part of the decisions (`pearstall/choice.py`): no I/O, no clock. Each method is told the time and returns the actions
+that carry out what it decided. Times are integer microseconds unless a name or a comment says otherwise.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from pearstall.interface import Action, SetTimer, Settings, Subscribe
+
+# A gateway counts as notified of a change this long after discovery had it and could be reached, received or not.
+LIST_CHANGE_DEADLINE_US = 6_000_000
+# The spans below, over which calls are spread, are parts of that time. Each gateway has its own place in a span.
+SUBSCRIBE_SPAN_PER_GATEWAY = 1 / 60  # the span grows by this for each gateway
+SUBSCRIBE_AT_ONCE_GATEWAYS = 8  # up to this many gateways all call at once when they start
+SUBSCRIBE_SPAN_START = 2 / 3  # longest span when gateways start
+SUBSCRIBE_SPAN_LOST = 5 / 12  # longest span when watches end; noticing that a watch has fallen silent takes as long
+# Longest span while calls fail, for however long: whenever discovery comes back, the next call is within this time.
+SUBSCRIBE_SPAN_RETRY = 3 / 4
+SUBSCRIBE_JITTER = 0.05  # largest random change of a delay, as a part of it
+SUBSCRIBE_FAST_FAILURE_US = 500_000  # a first call that fails sooner may have met a passing fault
+SUBSCRIBE_FAST_RETRY_US = 250_000  # and is repeated after this
+UNREACHABLE_CALLS = 2  # consecutive calls without a connection that show an outage
+AGENT_RETRY_US = 50_000  # a lost watch is reopened after this where each gateway has an agent of its own
+AGENT_RETRY_MAX_US = 250_000  # doubled while that fails, up to this
+# The list of a start is of unknown age. If no call has brought a list this long after the start, it is used all the
+# same.
+INITIAL_FETCH_TIMEOUT_US = 7_500_000
+SUBSCRIBE_TAG = 1 << 60  # tag of the subscription timer; tags below it are request ids
+INITIAL_FETCH_TAG = SUBSCRIBE_TAG + 1  # tag of the timer for INITIAL_FETCH_TIMEOUT_US
+
+
+class Subscription:
+    """A gateway's calls to discovery, from its start on. `random` gives numbers from 0 to 1."""
+
+    def __init__(self, settings: Settings, random: Callable[[], float]) -> None:
+        self.settings = settings
+        self.random = random
+        self.open = False  # a watch is open
+        self.calls = 0  # since the last watch
+        self.called_at = 0  # the last of them
+        self.call_due_at = 0
+        self.started_at = 0
+        self.list_verified = not settings.subscribe  # by discovery, or as discovery could not be reached
+        self.initial_fetch_failed = False  # a call was refused or waited too long, before the first list
+        self.unreachable_calls = 0  # consecutive ones before the first list
+
+    @property
+    def small_group(self) -> bool:
+        """Whether all gateways may call at the same time."""
+        return self.settings.gateways <= SUBSCRIBE_AT_ONCE_GATEWAYS
+
+    @property
+    def awaits_list(self) -> bool:
+        """Whether requests wait for the first list: the list cached at a start is of unknown age.
+
+        A small number of gateways call at once when they start, and have the answer before the first request, unless
+        that call fails.
+        """
+        return not self.list_verified and (self.initial_fetch_failed or not self.small_group)
+
+    def start(self, now: int) -> list[Action]:
+        self.started_at = now
+        if not self.settings.subscribe:
+            return []
+        if self.small_group or self.settings.pushed:
+            return self.call(now)
+        return self._schedule_call(now, SUBSCRIBE_SPAN_START)
+
+    def on_timer(self, now: int) -> list[Action]:
+        """Handles the timer with SUBSCRIBE_TAG; one that was set before a later decision does nothing."""
+        return self.call(now) if now >= self.call_due_at and not self.open else []
+
+    def call_if_none_yet(self, now: int) -> list[Action]:
+        """Calls discovery, unless a call was made since the start or since the last watch."""
+        return [] if self.calls else self.call(now)
+
+    def on_list(self) -> None:
+        """A list or a change arrived from discovery."""
+        self.open = self.settings.subscribe
+        self.list_verified = True
+
+    def on_initial_fetch_timeout(self) -> None:
+        """Accepts the cached list, as discovery could not be reached."""
+        self.list_verified = True
+
+    def on_failure(self, now: int, refused: bool) -> list[Action]:
+        """A call failed, or the watch ended. `refused`: discovery answered with an error."""
+        if self.open:
+            self.calls = 0
+        self.open = False
+        fast = now - self.called_at < SUBSCRIBE_FAST_FAILURE_US
+        if self.calls == 1 and fast and not self.settings.pushed:
+            actions = self._call_in(now, SUBSCRIBE_FAST_RETRY_US)
+        else:
+            actions = self._schedule_call(now)
+        if not self.list_verified:
+            actions += self._on_failed_initial_fetch(now, unreachable=fast and not refused)
+        return actions
+
+    def _on_failed_initial_fetch(self, now: int, unreachable: bool) -> list[Action]:
+        """A call that was refused or waited too long is no sign of an outage: discovery may have too many callers."""
+        self.unreachable_calls = self.unreachable_calls + 1 if unreachable else 0
+        if self.unreachable_calls >= UNREACHABLE_CALLS:
+            self.list_verified = True
+        elif not unreachable and not self.initial_fetch_failed:
+            self.initial_fetch_failed = True
+            left = self.started_at + INITIAL_FETCH_TIMEOUT_US - now
+            return [SetTimer(max(1, left), INITIAL_FETCH_TAG)]
+        return []
+
+    def call(self, now: int) -> list[Action]:
+        """Calls discovery, and sets the timer of a further call."""
+        self.calls += 1
+        self.called_at = now
+        return [Subscribe(), *self._call_in(now, self.settings.must_ask_in // 2)]  # in case no answer comes at all
+
+    def _schedule_call(self, now: int, first_span: float = SUBSCRIBE_SPAN_LOST) -> list[Action]:
+        """Schedules the next call: first within a short span, to learn of changes soon, then within one that is long
+        enough for all gateways to be served.
+
+        Gateways that start or lose their watches together call one after the other, each in the order of its number.
+        A call that waits too long is served in vain, and where too many coincide by chance, that happens to all of
+        them and doesn't end.
+        """
+        if self.settings.pushed:  # no other gateway uses the agent, and its changes count as received at once
+            return self._call_in(now, min(AGENT_RETRY_MAX_US, AGENT_RETRY_US << min(self.calls, 9)))
+        span, number = self._span(self.calls, first_span), self.settings.gateway
+        delay = self.random() * span
+        if number >= 0:
+            previous_span = self._span(self.calls - 1, first_span)
+            if not self.list_verified and self.calls == 1:
+                span = previous_span  # the second call is answered before the list of the start is used
+            place = (number % self.settings.gateways + 0.5) / self.settings.gateways
+            delay = previous_span - (now - self.called_at) if self.calls else 0.0
+            delay = (delay + place * (span - previous_span)) * (1 + SUBSCRIBE_JITTER * (2 * self.random() - 1))
+        return self._call_in(now, max(1, int(delay)))
+
+    def _span(self, calls: int, first_span: float) -> float:
+        """Microseconds over which the gateways spread the call that follows this number of failed ones."""
+        by_gateways = SUBSCRIBE_SPAN_PER_GATEWAY * self.settings.gateways
+        limit = first_span if calls < 1 else SUBSCRIBE_SPAN_RETRY
+        deadline = min(LIST_CHANGE_DEADLINE_US, self.settings.must_ask_in)
+        return deadline * min(limit, by_gateways * 2.0 ** min(calls, 9)) if calls >= 0 else 0.0
+
+    def _call_in(self, now: int, delay: int) -> list[Action]:
+        """Sets the timer of the next call."""
+        self.call_due_at = now + delay
+        return [SetTimer(delay, SUBSCRIBE_TAG)]
--- a/pearstall/lab/scenarios.py
+++ b/pearstall/lab/scenarios.py
@@ -26,7 +26,7 @@
 from pearstall.edge.client import WIRES
 from pearstall.lab.devices import LINKS, Devices
 from pearstall.lab.rates import BadRate, Rate, parse_rate, peak_rate
-from pearstall.lab.world import FAULTS, Fault, Klass, Scenario
+from pearstall.lab.world import FAULTS, Fault, Klass, Scenario, decision_constants
 
 ENGINE = {
     "slots": whole(1, 4096), "queue": whole(0, 100_000), "chunk": whole(16), "step": duration(1e-5, 10),
@@ -178,7 +178,7 @@
 def _apply_changes(
     out: Scenario, nodes: dict[str, list[NodeValues]], path: str, diagnostics: list[Diagnostic]
 ) -> None:
-    from pearstall import choice
+    constant_names = decision_constants()
 
     for one in nodes.get("load", []):
         try:
@@ -194,7 +194,7 @@
         out.subset = one.args[0]
     for one in nodes.get("constant", []):
         name, value = one.args
-        if not isinstance(vars(choice).get(name), int | float) or isinstance(vars(choice).get(name), bool):
+        if name not in constant_names:
             diagnostics.append(Diagnostic(path, one.node.place, f"choice.py has no constant {name}"))
         out.constants[name] = value
     for one in nodes.get("setting", []):
--- a/pearstall/lab/world.py
+++ b/pearstall/lab/world.py
@@ -17,6 +17,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from types import ModuleType
 from typing import Any
 
 import msgspec
@@ -123,7 +124,7 @@
     honours_advice: float = 1.0  # share of clients that wait for Retry-After
     notices_after: float = 1.0  # seconds until the load balancer stops using a dead router
     settings: dict[str, Any] = {}  # override the platform's settings
-    constants: dict[str, float] = {}  # constants of choice.py, overridden during a run
+    constants: dict[str, float] = {}  # of the decision modules, overridden during a run
     sockets: int = 1024
     subset: int = 0  # servers that each router uses; 0: all of them
     devices: list[Devices] = []  # connected to the routers' edges
@@ -799,20 +800,30 @@
     )
 
 
+def decision_constants() -> dict[str, ModuleType]:
+    """The numeric constants of the decision modules: the module of each name."""
+    from pearstall import choice, discovery
+
+    return {
+        name: module
+        for module in (discovery, choice)
+        for name, value in vars(module).items()
+        if isinstance(value, int | float) and not isinstance(value, bool)
+    }
+
+
 @contextlib.contextmanager
 def constants(changes: dict[str, float]) -> Any:
-    """Overrides constants of choice.py during a run. Raises KeyError for an unknown constant."""
-    from pearstall import choice
-
-    previous = {}
+    """Overrides constants of the decision modules during a run. Raises KeyError for an unknown constant."""
+    modules = decision_constants()
+    previous = {name: vars(modules[name])[name] for name in changes}
     for name, value in changes.items():
-        previous[name] = vars(choice)[name]
-        setattr(choice, name, type(previous[name])(value))
+        setattr(modules[name], name, type(previous[name])(value))
     try:
         yield
     finally:
         for name, value in previous.items():
-            setattr(choice, name, value)
+            setattr(modules[name], name, value)
 
 
 async def _main(
--- a/pearstall/models/listing.py
+++ b/pearstall/models/listing.py
@@ -245,7 +245,7 @@
             queries,
             replicas,
             timers,
-            router.subscribed,
+            router.subscription.open,
             len(router.queued),
         )
 
--- a/pearstall/models/mutants.py
+++ b/pearstall/models/mutants.py
@@ -42,6 +42,7 @@
     "pearstall.net.cluster:Cluster.",
     "pearstall.net.deadlines:",
 )
+SUBSCRIPTION = "pearstall.discovery:Subscription."
 CLIENT_LINK = "pearstall.net.client_link:ClientLink."
 MUTANTS = (
     Mutant(
@@ -200,8 +201,8 @@
     ),
     Mutant(
         "a broken watch isn't asked for again",
-        ROUTER + "_on_failed_call",
-        "self.subscribed = False",
+        SUBSCRIPTION + "on_failure",
+        "self.open = False",
         "pass",
         "list",
         "broken watch",
--- a/tests/test_restart_membership.py
+++ b/tests/test_restart_membership.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from pearstall.choice import INITIAL_FETCH_TAG, INITIAL_FETCH_TIMEOUT_US, SUBSCRIBE_TAG, Router
+from pearstall.choice import Router
+from pearstall.discovery import INITIAL_FETCH_TAG, INITIAL_FETCH_TIMEOUT_US, SUBSCRIBE_TAG
 from pearstall.interface import ListKind, Replica, ReplicaList, Request, Send, SetTimer, State, Subscribe, Timer
 from pearstall.lab.processes import RouterProcess
 from pearstall.lab.rig import free_ports
