Make the second call to discovery in time for the age of a list whose watch fell silent

Cause: the Router was not told for how long a watch had been quiet when it ended. It spaced calls from its notice, 2.5 s after the last line, as after a reset: place (up to 2.5 s), then up to 4.5 s, so the second call came up to 9.6 s after the last line. Seen in the record of the case: last line at -0.9 s, notice 1.6, call 3.7, refused 4.7, next call 8.1. Ruled out: a slow answer (the second call was answered in 1 ms) and a list that was read wrongly.

Change: the event of a watch's end carries the silence; the second call is due 5.5 s after the watch was last heard of, or as soon as the first one fails; in a fleet, second calls go behind the first span, over the time that is left.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -1427,7 +1427,7 @@
 
     def _on_failed_call(self, event: ReplicaList) -> None:
         verified_before = self.list_verified
-        self.actions += self.subscription.on_failure(self.now, event.refused)
+        self.actions += self.subscription.on_failure(self.now, event.refused, event.silence)
         if self.list_verified and not verified_before:
             self._rebuild_pools()
 
--- a/pearstall/discovery.py
+++ b/pearstall/discovery.py
@@ -17,6 +17,7 @@
 SUBSCRIBE_AT_ONCE_GATEWAYS = 8  # up to this many gateways all call at once when they start
 SUBSCRIBE_SPAN_START = 2 / 3  # longest span when gateways start
 SUBSCRIBE_SPAN_LOST = 5 / 12  # longest span when watches end; noticing that a watch has fallen silent takes as long
+SUBSCRIBE_TWO_CALLS = 11 / 12  # two calls fit into this part, as one may be refused; the rest is for the answer
 # Longest span while calls fail, for however long: whenever discovery comes back, the next call is within this time.
 SUBSCRIBE_SPAN_RETRY = 3 / 4
 SUBSCRIBE_JITTER = 0.05  # largest random change of a delay, as a part of it
@@ -42,6 +43,8 @@
         self.calls = 0  # since the last watch
         self.called_at = 0  # the last of them
         self.call_due_at = 0
+        self.span = self._span(SUBSCRIBE_SPAN_LOST, 0)  # over which the gateways spread the last call
+        self.unknown_since = 0  # when the last watch was last heard of: later changes may be unknown
         self.started_at = 0
         self.list_verified = not settings.subscribe  # by discovery, or as discovery could not be reached
         self.initial_fetch_failed = False  # a call was refused or waited too long, before the first list
@@ -67,7 +70,7 @@
             return []
         if self.small_group or self.settings.pushed:
             return self.call(now)
-        return self._schedule_call(now, SUBSCRIBE_SPAN_START)
+        return self._schedule_first_call(now, SUBSCRIBE_SPAN_START)
 
     def on_timer(self, now: int) -> list[Action]:
         """Handles the timer with SUBSCRIBE_TAG; one that was set before a later decision does nothing."""
@@ -86,16 +89,24 @@
         """Accepts the cached list, as discovery could not be reached."""
         self.list_verified = True
 
-    def on_failure(self, now: int, refused: bool) -> list[Action]:
-        """A call failed, or the watch ended. `refused`: discovery answered with an error."""
+    def on_failure(self, now: int, refused: bool, silence: int) -> list[Action]:
+        """A call failed, or the watch ended.
+
+        `refused`: discovery answered with an error. `silence`: for how long nothing had come on the watch.
+        """
         if self.open:
             self.calls = 0
+            self.unknown_since = now - silence
         self.open = False
         fast = now - self.called_at < SUBSCRIBE_FAST_FAILURE_US
-        if self.calls == 1 and fast and not self.settings.pushed:
+        if self.settings.pushed:  # no other gateway uses the agent, and its changes count as received at once
+            actions = self._call_in(now, min(AGENT_RETRY_MAX_US, AGENT_RETRY_US << min(self.calls, 9)))
+        elif self.calls == 0:
+            actions = self._schedule_first_call(now, SUBSCRIBE_SPAN_LOST)
+        elif self.calls == 1 and fast:
             actions = self._call_in(now, SUBSCRIBE_FAST_RETRY_US)
         else:
-            actions = self._schedule_call(now)
+            actions = self._schedule_further_call(now)
         if not self.list_verified:
             actions += self._on_failed_initial_fetch(now, unreachable=fast and not refused)
         return actions
@@ -117,33 +128,66 @@
         self.called_at = now
         return [Subscribe(), *self._call_in(now, self.settings.must_ask_in // 2)]  # in case no answer comes at all
 
-    def _schedule_call(self, now: int, first_span: float = SUBSCRIBE_SPAN_LOST) -> list[Action]:
-        """Schedules the next call: first within a short span, to learn of changes soon, then within one that is long
-        enough for all gateways to be served.
+    # Gateways that start or lose their watches together call one after the other, each in the order of its number.
+    # A call that waits too long is served in vain, and where too many coincide by chance, that happens to all of them
+    # and doesn't end.
+
+    def _schedule_first_call(self, now: int, longest_span: float) -> list[Action]:
+        """Schedules the call after a start or the end of a watch, soon: changes may be unknown from then on."""
+        self.span = self._span(SUBSCRIBE_SPAN_LOST, 0)  # of the calls behind it
+        place = self.random() if self._place is None else self._place * self._jitter()
+        return self._call_in(now, max(1, int(place * self._span(longest_span, 0))))
 
-        Gateways that start or lose their watches together call one after the other, each in the order of its number.
-        A call that waits too long is served in vain, and where too many coincide by chance, that happens to all of
-        them and doesn't end.
+    def _schedule_further_call(self, now: int) -> list[Action]:
+        """Schedules the call after one that failed, within a span that is long enough for all gateways to be served.
+
+        The second call is made in time for its list to come before the earliest change that may be unknown counts as
+        received.
         """
-        if self.settings.pushed:  # no other gateway uses the agent, and its changes count as received at once
-            return self._call_in(now, min(AGENT_RETRY_MAX_US, AGENT_RETRY_US << min(self.calls, 9)))
-        span, number = self._span(self.calls, first_span), self.settings.gateway
-        delay = self.random() * span
-        if number >= 0:
-            previous_span = self._span(self.calls - 1, first_span)
-            if not self.list_verified and self.calls == 1:
-                span = previous_span  # the second call is answered before the list of the start is used
-            place = (number % self.settings.gateways + 0.5) / self.settings.gateways
-            delay = previous_span - (now - self.called_at) if self.calls else 0.0
-            delay = (delay + place * (span - previous_span)) * (1 + SUBSCRIBE_JITTER * (2 * self.random() - 1))
-        return self._call_in(now, max(1, int(delay)))
-
-    def _span(self, calls: int, first_span: float) -> float:
-        """Microseconds over which the gateways spread the call that follows this number of failed ones."""
+        previous_span = self.span
+        self.span = self._further_span()
+        if self._place is None:
+            delay = int(self.random() * self.span)
+        else:
+            gap = previous_span + self._place * (self.span - previous_span)
+            delay = self.called_at + int(gap * self._jitter()) - now
+        if self.list_verified and self.calls == 1:
+            delay = min(delay, self._answer_needed_by - now)
+        return self._call_in(now, max(1, delay))
+
+    def _further_span(self) -> float:
+        """The span of the next call. Where places are known, a second call goes behind the span of the first ones."""
+        if self.calls == 1 and not self.list_verified:
+            return self.span  # it is answered before the list of the start is used
+        span = self._span(SUBSCRIBE_SPAN_RETRY, self.calls)
+        if self.calls > 1 or self._place is None:
+            return span
+        first_span_end = self.called_at + (1 - self._place) * self.span
+        return max(0.0, min(span, self._answer_needed_by - first_span_end))
+
+    @property
+    def _answer_needed_by(self) -> int:
+        """The latest time of a call whose list comes before an unknown change counts as received."""
+        return self.unknown_since + int(SUBSCRIBE_TWO_CALLS * self._deadline)
+
+    @property
+    def _place(self) -> float | None:
+        """This gateway's place in a span, from 0 to 1. None: its number is unknown."""
+        number, gateways = self.settings.gateway, self.settings.gateways
+        return (number % gateways + 0.5) / gateways if number >= 0 else None
+
+    @property
+    def _deadline(self) -> int:
+        """Microseconds until a change counts as received."""
+        return min(LIST_CHANGE_DEADLINE_US, self.settings.must_ask_in)
+
+    def _jitter(self) -> float:
+        return 1 + SUBSCRIBE_JITTER * (2 * self.random() - 1)
+
+    def _span(self, longest: float, failed_calls: int) -> float:
+        """Microseconds over which the gateways spread a call: short in a small group, and doubled at each failure."""
         by_gateways = SUBSCRIBE_SPAN_PER_GATEWAY * self.settings.gateways
-        limit = first_span if calls < 1 else SUBSCRIBE_SPAN_RETRY
-        deadline = min(LIST_CHANGE_DEADLINE_US, self.settings.must_ask_in)
-        return deadline * min(limit, by_gateways * 2.0 ** min(calls, 9)) if calls >= 0 else 0.0
+        return self._deadline * min(longest, by_gateways * 2.0 ** min(failed_calls, 9))
 
     def _call_in(self, now: int, delay: int) -> list[Action]:
         """Sets the timer of the next call."""
--- a/pearstall/interface.py
+++ b/pearstall/interface.py
@@ -259,6 +259,7 @@
     kind: int  # a `ListKind`
     replicas: Sequence[Replica] = ()
     refused: bool = False  # with FAILED: discovery answered the call with an error, so it can be reached
+    silence: int = 0  # with FAILED: for how long nothing had come on the watch
 
 
 @dataclass(slots=True)
--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -138,7 +138,7 @@
         if watch is self.watch:
             self.watch = None
             self.core.log.event("watch_ended", why=why, lines=watch.lines_read, silent_ms=watch.silent_ms)
-            self.core.listed(ReplicaList(ListKind.FAILED, refused=watch.refused))
+            self.core.listed(ReplicaList(ListKind.FAILED, refused=watch.refused, silence=1000 * watch.silent_ms))
             self.on_change()
 
     # -- inventory ----------------------------------------------------------------------------------------
--- a/tests/test_restart_membership.py
+++ b/tests/test_restart_membership.py
@@ -104,11 +104,12 @@
 
 
 class CrowdedDiscovery(Discovery):
-    """Refuses the first calls, each after it has waited for a while, and serves the others after they have waited."""
+    """Refuses `refused_calls` calls after they have waited for a while; serves the others after `serve_after`."""
 
-    def __init__(self, address: tuple[str, int], refused_calls: int) -> None:
+    def __init__(self, address: tuple[str, int], refused_calls: int, serve_after: float = CALL_WAITS_SECONDS) -> None:
         super().__init__(address)
         self.refused_calls = refused_calls
+        self.serve_after = serve_after
 
     async def start(self) -> None:
         loop = asyncio.get_running_loop()
@@ -121,11 +122,11 @@
         self.crowded = owner
 
     def data_received(self, data: bytes) -> None:
-        serve = super().data_received
+        serve, wait = super().data_received, self.crowded.serve_after
         if self.crowded.refused_calls:
             self.crowded.refused_calls -= 1
-            serve = self._refuse
-        asyncio.get_running_loop().call_later(CALL_WAITS_SECONDS, serve, data)
+            serve, wait = self._refuse, CALL_WAITS_SECONDS
+        asyncio.get_running_loop().call_later(wait, serve, data)
 
     def _refuse(self, data: bytes) -> None:
         assert self.transport is not None
