Hold requests of a start until the own agent has answered, where lists are pushed

Cause: in groups of up to eight routers requests went by the list of the start while the first call was under way; this exception did not look at whether lists are pushed, where what the agent has counts from the first moment of a process.

Change: where lists are pushed, requests wait for the first list in groups of any size.

Calls to discovery are unchanged.

--- a/pearstall/discovery.py
+++ b/pearstall/discovery.py
@@ -67,9 +67,12 @@
         """Whether requests wait for the first list: the list cached at a start is of unknown age.
 
         A small number of gateways call at once when they start, and have the answer before the first request, unless
-        that call fails.
+        that call fails. What an agent of the gateway's own has counts as received from the start on, however long its
+        answer takes.
         """
-        return not self.list_verified and (self.initial_fetch_failed or not self.small_group)
+        if self.list_verified:
+            return False
+        return self.initial_fetch_failed or self.settings.pushed or not self.small_group
 
     def start(self, now: int) -> list[Action]:
         self.started_at = now
--- a/tests/test_restart_membership.py
+++ b/tests/test_restart_membership.py
@@ -166,8 +166,9 @@
     asyncio.run(scene())
 
 
-def restarted(gateways: int, gateway: int = 0) -> Router:
-    router = Router(settings(gateways=gateways, gateway=gateway, subscribe=True, must_ask_in=10 * S), seed=1)
+def restarted(gateways: int, gateway: int = 0, pushed: bool = False) -> Router:
+    made = settings(gateways=gateways, gateway=gateway, subscribe=True, pushed=pushed, must_ask_in=10 * S)
+    router = Router(made, seed=1)
     router.start(0)
     router.handle(0, ReplicaList(ListKind.CACHED, [Replica(1, 0, 0, State.READY)]))
     return router
@@ -198,3 +199,43 @@
     actions = router.handle(refused_at, ReplicaList(ListKind.FAILED, refused=True))
     (again,) = (action for action in actions if isinstance(action, SetTimer) and action.tag == SUBSCRIBE_TAG)
     assert refused_at + again.delay + CALL_WAITS_US < INITIAL_FETCH_TIMEOUT_US
+
+
+@pytest.mark.parametrize("gateways", [1, 4, 200])
+def test_requests_wait_for_the_answer_of_a_gateways_own_agent(gateways: int) -> None:
+    """What the agent has counts as received from the start on; small groups sent by the list cached at the start."""
+    router = restarted(gateways, pushed=True)
+    queued = router.handle(100 * MS, Request(1, 0, 5 * S, 50.0))
+    assert not any(isinstance(action, Send) for action in queued)
+    changes = [Replica(1, 0, 0, State.DRAINING), Replica(2, 0, 0, State.READY)]
+    sent = router.handle(950 * MS, ReplicaList(ListKind.DELTA, changes))
+    assert [action.replica for action in sent if isinstance(action, Send)] == [2]
+
+
+@pytest.mark.parametrize("answer_after", [0.0, CALL_WAITS_SECONDS])
+def test_a_restarted_router_sends_nothing_by_its_old_list_while_its_agent_answers(
+    answer_after: float, tmp_path: Path
+) -> None:
+    """A router of four sent to a draining server until its agent had answered."""
+
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            books = ExecutionLog()
+            servers = await two_servers(stack, books)
+            agent = CrowdedDiscovery((LOCAL, free_ports(1)[0]), refused_calls=0, serve_after=answer_after)
+            known = await list_servers(agent, servers)
+            made = setup(groupSize=4, me=0, obligations=OBLIGATIONS, membershipMode="automatic")
+            address = f"{LOCAL}:{agent.address[1]}"
+            router = RouterProcess(tmp_path, {"discovery": address, "known": known, "settings": made})
+            stack.callback(router.kill)
+            agent.put(row(servers[0], "draining"))  # while the router is down
+            router.start()
+            await router.until_listening(20)
+            results: list[str] = []
+            clients = [Client("platform", router.port, f"c{number}-") for number in range(4)]
+            end = asyncio.get_running_loop().time() + 2.0
+            await asyncio.gather(*(ask_until(client, results, end) for client in clients))
+            assert not [one for made in books.by_txn.values() for one in made if one.server == 0]
+            assert "served" in results and "lost" not in results
+
+    asyncio.run(scene())
