Cut a stream without events later where clients do not request the rest of it

Cause: one limit of 4.0 s for all; it takes a silent stream for one of a machine that has vanished, so that clients ask for the rest elsewhere. Clients that do not ask are owed each event within 5 s of the last one.

Change: there a stream is cut 4.7 s after the last event, and the check is made at that time (it could be up to 1 s late). Where clients ask for the rest, nothing changes.

--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -41,6 +41,10 @@
 
 # A machine that vanishes sends neither an end nor a reset: a stream without an event for this long is cut.
 STREAM_STALL_SECONDS = 4.0
+# The same where clients don't request the rest of a stream: an event within 5 s of the last one is owed to them, less
+# what events are late on their way here.
+UNRESUMED_STREAM_STALL_SECONDS = 4.7
+STREAM_CHECK_SECONDS = 1.0  # between two checks of a stream
 QUIET_BEFORE_MOVE_SECONDS = 0.5  # without a new query for this long, clients are using another router
 # This long after a query's deadline, the core answers in place of a Router that has not; it still counts as on time.
 GUARD_DELAY_SECONDS = 0.015
@@ -211,6 +215,7 @@
         self.on_idle: Callable[[], None] = lambda: None
         self.trace: Trace | None = None
         self.log: EventLog = SILENT
+        self.streams_resumable = True  # clients request the rest of a stream that was cut
         self.server_name: Callable[[int], str] = str
 
     def reconfigure(self, settings: Settings, classes: Sequence[int], tenants: Sequence[int]) -> None:
@@ -448,9 +453,10 @@
             query.forwarded = True
 
     def _watch_stream(self, execution: Execution) -> None:
-        stalled_at = execution.last_event_at + STREAM_STALL_SECONDS
+        stall = STREAM_STALL_SECONDS if self.streams_resumable else UNRESUMED_STREAM_STALL_SECONDS
+        stalled_at = execution.last_event_at + stall
         if execution.paused or self.clock() < stalled_at:
-            next_check = max(stalled_at, self.clock() + STREAM_STALL_SECONDS / 4)
+            next_check = self._next_stream_check(execution, stalled_at)
             execution.timeout = self.deadlines.at(next_check, partial(self._watch_stream, execution))
             return
         # Otherwise the client would wait for an end that never arrives; after a cut it requests the rest.
@@ -458,6 +464,12 @@
             execution.carrier.give_up()
         self.ended(execution, Broken(Reach.ANSWERING, "no event came"))
 
+    def _next_stream_check(self, execution: Execution, stalled_at: float) -> float:
+        """The exact time of a stall where a late cut loses the stream, else not before a second has passed."""
+        if execution.paused or self.streams_resumable:
+            return max(stalled_at, self.clock() + STREAM_CHECK_SECONDS)
+        return stalled_at
+
     def move_streams(self) -> None:
         """Cuts the streams under way, so that their clients request the rest from another router. Does nothing while
         queries still arrive, long after clients were asked to leave: then there is no other router, and the clients
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -90,6 +90,7 @@
         )
         self.core = Core(config.settings, config.seed, self.deadlines, self.counters, self.servers)
         self.core.log = log
+        self.core.streams_resumable = config.names.family.resume
         self.servers.core = self.core
         subset = None
         if config.subset:
@@ -263,6 +264,7 @@
     def _apply_config(self, updated: Config, renumbering: Renumbering | None) -> None:
         """Applies a configuration that was read and checked as a whole, so that no step can fail."""
         self.config = updated
+        self.core.streams_resumable = updated.names.family.resume
         if renumbering is not None:
             self.core.reconfigure(updated.settings, renumbering.classes, renumbering.tenants)
             for front in self.fronts.values():
--- a/tests/test_fronts.py
+++ b/tests/test_fronts.py
@@ -503,3 +503,42 @@
             server.go_on.set()
 
     run(scene())
+
+
+SLOW_EVENT_SECONDS = 4.5  # to the next event of a server that has become slow
+OWED_EVENT_SECONDS = 5.0  # an event that comes sooner belongs to the answer, a client is not to wait longer
+
+
+@both_fronts
+def test_a_slow_event_is_passed_on_where_clients_do_not_request_the_rest(front: str, tmp_path: Path) -> None:
+    """Any stream was cut 4.0 s after an event, though its server went on with it."""
+
+    async def scene() -> None:
+        server = ModelServer("platform", "wait")
+        made = setup(familyInfo={"resume": False})
+        async with server.listening(), running(tmp_path, [server], settings=made) as (program, ports):
+            client = Client(front, ports[front])
+            await client.send()
+            await until(lambda: any(query.forwarded for query in program.core.queries))
+            await asyncio.sleep(SLOW_EVENT_SECONDS)
+            server.go_on.set()
+            assert (await client.answer())[0] == "served"
+            client.close()
+
+    asyncio.run(scene())
+
+
+@pytest.mark.parametrize("resume", [False, True])
+def test_a_stream_without_events_is_cut_before_its_client_has_waited_too_long(resume: bool, tmp_path: Path) -> None:
+    async def scene() -> None:
+        server = ModelServer("platform", "wait")
+        made = setup(familyInfo={"resume": resume})
+        async with server.listening(), running(tmp_path, [server], settings=made) as (program, ports):
+            client = Client("platform", ports["platform"])
+            await client.send()
+            await until(lambda: any(query.forwarded for query in program.core.queries))
+            forwarded_at = asyncio.get_running_loop().time()
+            assert (await client.answer())[0] == "cut"
+            assert asyncio.get_running_loop().time() - forwarded_at < OWED_EVENT_SECONDS
+
+    asyncio.run(scene())
