Share the clients of the restart tests' scenes, and name the deadline of a call as such

Cause: three scenes and a new one started the same four clients with the same lines (found by the search for duplicates); `_answer_needed_by` in discovery.py is the latest time of a call, not of an answer. Change: ask_as_clients in test_restart_membership.py; `_call_deadline`.

--- a/pearstall/discovery.py
+++ b/pearstall/discovery.py
@@ -168,7 +168,7 @@
             gap = previous_span + self._place * (self.span - previous_span)
             delay = self.called_at + int(gap * self._jitter()) - now
         if self.list_verified and not crowded:
-            delay = min(delay, self._answer_needed_by - now)
+            delay = min(delay, self._call_deadline - now)
         return self._call_in(now, max(1, delay))
 
     def _further_span(self, crowded: bool) -> float:
@@ -179,10 +179,10 @@
         if self.calls > 1 or self._place is None:
             return span
         first_span_end = self.called_at + (1 - self._place) * self.span
-        return max(0.0, min(span, self._answer_needed_by - first_span_end))
+        return max(0.0, min(span, self._call_deadline - first_span_end))
 
     @property
-    def _answer_needed_by(self) -> int:
+    def _call_deadline(self) -> int:
         """The latest time of a call whose list comes before an unknown change counts as received."""
         return self.unknown_since + int(SUBSCRIBE_TWO_CALLS * self._deadline)
 
--- a/tests/test_list_age.py
+++ b/tests/test_list_age.py
@@ -21,13 +21,13 @@
 from pearstall.lab.processes import RouterProcess
 from pearstall.lab.rig import free_ports
 from pearstall.lab.servers import LOCAL, ExecutionLog
-from tests.net_support import Client, setup
+from tests.net_support import setup
 from tests.support import MS, S, settings
 from tests.test_restart_membership import (
     DRAIN_GRACE_SECONDS,
     OBLIGATIONS,
     CrowdedDiscovery,
-    ask_until,
+    ask_as_clients,
     list_servers,
     row,
     two_servers,
@@ -99,9 +99,7 @@
             silent_at = asyncio.get_running_loop().time()
             discovery.refused_calls = 1
             discovery.put(row(servers[0], "draining"))
-            results: list[str] = []
-            clients = [Client("platform", router.port, f"c{number}-") for number in range(4)]
-            await asyncio.gather(*(ask_until(client, results, silent_at + 10.0) for client in clients))
+            results = await ask_as_clients(router.port, silent_at + 10.0)
             told_at = silent_at + TOLD_SECONDS
             executions = [one for made in books.by_txn.values() for one in made]
             late = [
--- a/tests/test_restart_membership.py
+++ b/tests/test_restart_membership.py
@@ -20,6 +20,7 @@
 from tests.support import MS, S, settings
 
 ROUTERS = 200
+CLIENTS = 4
 LAST = ROUTERS - 1  # the last of the group to call discovery after a start
 DRAIN_GRACE_SECONDS = 0.5
 CALL_WAITS_SECONDS = 0.9  # at a discovery with many callers
@@ -57,6 +58,14 @@
         await asyncio.sleep(0.02)
 
 
+async def ask_as_clients(port: int, end: float) -> list[str]:
+    """What several clients get that each send one request after another until `end`, a time of the event loop."""
+    results: list[str] = []
+    clients = [Client("platform", port, f"c{number}-") for number in range(CLIENTS)]
+    await asyncio.gather(*(ask_until(client, results, end) for client in clients))
+    return results
+
+
 @pytest.mark.parametrize("status", ["draining", "gone"])
 def test_a_restarted_router_sends_nothing_to_servers_that_left_while_it_was_down(status: str, tmp_path: Path) -> None:
     async def scene() -> None:
@@ -74,9 +83,7 @@
             router.start()
             await router.until_listening(20)
             listening_at = asyncio.get_running_loop().time()
-            results: list[str] = []
-            clients = [Client("platform", router.port, f"c{number}-") for number in range(4)]
-            await asyncio.gather(*(ask_until(client, results, listening_at + 6.0) for client in clients))
+            results = await ask_as_clients(router.port, listening_at + 6.0)
             executions = [one for made in books.by_txn.values() for one in made]
             late = [one for one in executions if one.server == 0 and one.began > listening_at + DRAIN_GRACE_SECONDS]
             assert not late, f"{len(late)} of {len(executions)}, the last {late[-1].began - listening_at:.2f} s late"
@@ -156,10 +163,7 @@
             discovery.put(row(servers[0], "draining"))  # while the router is down
             router.start()
             await router.until_health(200, 20)
-            results: list[str] = []
-            clients = [Client("platform", router.port, f"c{number}-") for number in range(4)]
-            end = asyncio.get_running_loop().time() + 2.0
-            await asyncio.gather(*(ask_until(client, results, end) for client in clients))
+            results = await ask_as_clients(router.port, asyncio.get_running_loop().time() + 2.0)
             assert not [one for made in books.by_txn.values() for one in made if one.server == 0]
             assert "served" in results and "lost" not in results
 
@@ -231,10 +235,7 @@
             agent.put(row(servers[0], "draining"))  # while the router is down
             router.start()
             await router.until_listening(20)
-            results: list[str] = []
-            clients = [Client("platform", router.port, f"c{number}-") for number in range(4)]
-            end = asyncio.get_running_loop().time() + 2.0
-            await asyncio.gather(*(ask_until(client, results, end) for client in clients))
+            results = await ask_as_clients(router.port, asyncio.get_running_loop().time() + 2.0)
             assert not [one for made in books.by_txn.values() for one in made if one.server == 0]
             assert "served" in results and "lost" not in results
 
