Log the resident memory, what is held beside it, and why each connection was closed

Change: the event memory, whenever the resident memory has changed by 1 MB between two samples of 0.1 s; counters resident_bytes, peak_resident_bytes, held_bytes; a reason for the closes named; request_ended with 'client left'. Nothing is decided by it. In a world of many routers in one process the memory counts as not known.

--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -153,7 +153,7 @@
         else:
             self._reject(Malformed("the query has not come whole in time", 408))
 
-    def _log_close(self, why: str) -> None:
+    def log_close(self, why: str) -> None:
         request = self.query.txn if self.query is not None else ""
         self.owner.core.log.event("client_connection_closed", connection=self.handle, request=request, why=why)
 
@@ -185,6 +185,7 @@
 
     def _refuse_for_memory(self) -> None:
         self.owner.counters.crowded_out += 1
+        self.log_close("memory limit reached")
         self._reply(self.front.refused(0), last=True)
 
     def _pause_reading(self, paused: bool) -> None:
@@ -211,7 +212,7 @@
             if len(self.buffer) > MAX_PIPELINED_BYTES:
                 # Legitimate clients do not pipeline this much, and pausing reads would hide a disconnect. Aborted
                 # rather than closed: a close waits until the client has read its answer, which it may never do.
-                self._log_close("too much pipelined data")
+                self.log_close("too much pipelined data")
                 self.abort()
             elif not self._memory_suffices():
                 self._pause_reading(True)  # the rest waits in the kernel, and no new attempt begins without a client
@@ -332,7 +333,7 @@
 
     def _reject(self, why: Malformed) -> None:
         self.owner.counters.malformed += 1
-        self._log_close(why.why)
+        self.log_close(why.why)
         self._reply(self.front.malformed(why), last=True)
 
     # -- the final answer ----------------------------------------------------------------------------------
@@ -351,6 +352,7 @@
             self.collected_size += len(events)
             self._count_memory()
             if self.collected_size > MAX_COLLECTED_BYTES:
+                self.log_close("the answer is too large")
                 self.close()
             return False
         out = chunk(events) if self.chunked else events
@@ -461,6 +463,8 @@
         it makes progress; one that reads nothing must not hold the connection open."""
         unsent = self.unsent
         if unsent_before >= 0 and not 0 < unsent < unsent_before:
+            if unsent:
+                self.log_close("the client does not read")
             self.abort()
         else:
             self._set_timeout(LINGER_SECONDS, lambda: self._abort_unless_read(unsent))
@@ -515,9 +519,7 @@
         self.awaiting_request[link] = self.last_accept_at
         if len(self.links) > self.max_links and not self._evict(link):
             self.counters.crowded_out += 1
-            self.core.log.event(
-                "client_connection_closed", connection=link.handle, request="", why="connection limit reached"
-            )
+            link.log_close("connection limit reached")
             link.close()
 
     def _evict(self, link: ClientLink) -> bool:
@@ -538,11 +540,13 @@
             if other.idle or not grace:
                 self.forget(other)  # request_started adds it again if it has sent something in the meantime
                 if other.close_if_idle():
+                    other.log_close("evicted without a request")
                     return True
                 if not other.idle:
                     other.stop_waiting()
                     if other.busy:
                         continue
+                    other.log_close("evicted with an incomplete request")
                     other.abort()
                     return True
         return False
@@ -550,10 +554,12 @@
     def _evict_idle(self) -> bool:
         for other in list(islice(self.between_requests, EVICTION_CANDIDATES)):
             self.forget(other)
-            if other.closing or other.unsent:  # its client does not read, and the descriptor is needed
+            if other.closing or other.unsent:
+                other.log_close("evicted while its client does not read")
                 other.abort()
                 return True
             if other.close_if_idle():
+                other.log_close("evicted between two requests")
                 return True
         return False
 
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -330,6 +330,7 @@
         query = self.queries.get(handle)
         if query is not None and not query.finished:
             self.counters.clients_gone += 1
+            self._log_end("request_ended", handle, "client left")
             self._finish_query(query)
             self.dispatch(ClientGone(handle))
 
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -20,6 +20,7 @@
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadlines
 from pearstall.net.listener import Closable, MakeProtocol, open_listener
+from pearstall.net.memory import MemoryMonitor, Usage, resident_bytes
 from pearstall.net.openai import OpenAIFront, OpenAIServer
 from pearstall.net.platform import PlatformFront, PlatformServer
 from pearstall.net.reconfigure import Renumbering, renumber
@@ -67,6 +68,10 @@
     def make_id(self) -> str:
         return uuid.uuid4().hex
 
+    def resident_bytes(self) -> int:
+        """Memory that the process has resident; 0: not known."""
+        return resident_bytes()
+
 
 class Program:
     """One router process. Must be created inside a running event loop."""
@@ -102,6 +107,7 @@
         self.core.server_name = lambda replica: self.cluster.names.get(replica, str(replica))
         self.clients = ClientLinks(self.core, self.counters, clients)
         self.clients.max_held_bytes = int(config.limits.memory_mb * CLIENT_MEMORY_FRACTION * (1 << 20))
+        self.memory = MemoryMonitor(self.deadlines, log, system.resident_bytes, self._usage)
         self.fronts: dict[tuple[str, int], PlatformFront | OpenAIFront] = {}
         if config.listen is not None:
             self.fronts[config.listen] = PlatformFront(config.names)
@@ -157,6 +163,15 @@
         for (host, port), make in makers.items():
             self.listeners.append(await self.system.listen(make, host, port, self._accept_failed))
         self.log.event("router_listening", places=list(makers))
+        self.memory.start()
+
+    def _usage(self) -> Usage:
+        return Usage(
+            held_bytes=self.clients.held_bytes,
+            client_connections=len(self.clients.links),
+            server_connections=len(self.servers.links),
+            requests=len(self.core.queries),
+        )
 
     def _accept_failed(self, error: OSError) -> None:
         self.counters.accept_failures += 1
@@ -237,6 +252,10 @@
 
     def print_counters(self) -> None:
         self.counters.log_lines_lost = self.log.lost
+        self.memory.sample()
+        self.counters.resident_bytes = self.memory.resident_bytes
+        self.counters.peak_resident_bytes = self.memory.peak_bytes
+        self.counters.held_bytes = self.clients.held_bytes
         self.log.line(self.counters.line())
         if self.edge is not None:
             self.log.line(self.edge.line())
