Keep OpenSSL out of a router that speaks plain TCP only

What callers saw: at 32 MB an idle router left 2.5 MB (in millions of bytes) for everything that clients make it hold.

Cause: asyncio imports ssl, and hashlib imports _hashlib, where they can: 5 MB of libssl and libcrypto for a program without TLS. Change: without an operators' file both imports fail before asyncio is loaded, which asyncio and hashlib provide for; blake2b is the interpreter's own either way. With an operators' file nothing changes.

--- a/pearstall/__main__.py
+++ b/pearstall/__main__.py
@@ -9,7 +9,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from pearstall import signals
+from pearstall import footprint, signals
 
 if TYPE_CHECKING:
     from pearstall.net.config import Config
@@ -35,6 +35,8 @@
 
 
 def serve(options: argparse.Namespace) -> int:
+    if not options.operators:
+        footprint.exclude_openssl()
     import asyncio  # most of the start-up time, so it is imported after signals are blocked
 
     from pearstall.net.config import ConfigError, read_config
--- a/tests/test_memory_under_crowds.py
+++ b/tests/test_memory_under_crowds.py
@@ -138,6 +138,20 @@
     return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1]) * 1024
 
 
+def mapped_files(router: RouterProcess) -> str:
+    assert router.process is not None
+    return Path(f"/proc/{router.process.pid}/maps").read_text()
+
+
+def test_a_router_on_plain_tcp_does_not_load_openssl(tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with small_router(tmp_path, SLOW_START) as router:
+            assert "libssl" not in mapped_files(router) and "libcrypto" not in mapped_files(router)
+            assert (await Client("platform", router.port).ask())[0] == "served"
+
+    asyncio.run(scene())
+
+
 @pytest.mark.parametrize("crowd", CROWDS, ids=lambda crowd: crowd.__name__)
 def test_a_crowd_does_not_take_the_process_over_its_memory_limit(crowd: CrowdClient, tmp_path: Path) -> None:
     async def scene() -> None:
