Do not run a request again under the id of one whose client left while it was out

Cause: an id was free as soon as the router had given up the attempt. Its model server may go on with it (work goes on after a cancel), so the same id starts a second execution beside the first, whatever the class allows.

Clients give each request a new id, their retries included, so no sound client meets it; an id that reached no server may come again.

--- a/pearstall/models/client.py
+++ b/pearstall/models/client.py
@@ -133,6 +133,9 @@
         self.breaches_seen: list[str] = []
         self.log = SILENT
 
+    def repeats_id(self, txn: str) -> bool:
+        return txn in self.open_ids
+
     def take(self, query: Query) -> int:
         self.taken += 1
         query.handle = self.taken
--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -347,8 +347,8 @@
             self._start_query(query)
             shared(query)
             return
-        if isinstance(query, Query) and query.txn in self.owner.core.open_ids:
-            # Two open queries with one id would look like two copies of the same query to the model servers.
+        if isinstance(query, Query) and self.owner.core.repeats_id(query.txn):
+            # Two queries with one id would look like two copies of the same query to the model servers.
             query = self.front.malformed(Malformed("another query with this id is open", 409))
         if isinstance(query, Reply):
             if isinstance(query, UnknownClass):
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -34,6 +34,7 @@
 )
 from pearstall.net.counters import Counters
 from pearstall.net.deadlines import Deadline, Deadlines
+from pearstall.net.recent_ids import RecentIds
 from pearstall.net.slots import Slots
 
 if TYPE_CHECKING:
@@ -48,6 +49,7 @@
 QUIET_BEFORE_MOVE_SECONDS = 0.5  # without a new query for this long, clients are using another router
 # This long after a query's deadline, the core answers in place of a Router that has not; it still counts as on time.
 GUARD_DELAY_SECONDS = 0.015
+ABANDONED_IDS = 4096  # remembered at most
 
 
 class Reach(IntEnum):
@@ -206,6 +208,7 @@
         self.accepting = True
         self.last_query_at = 0.0
         self.open_ids: set[str] = set()  # client-supplied ids of the queries in `queries`
+        self.abandoned_ids = RecentIds(ABANDONED_IDS)  # of requests whose client left while an attempt was out
         self.router = Router(settings, seed)
         self.list_verified = False  # the Router uses its list
         self.on_list_verified: Callable[[], None] = lambda: None
@@ -326,11 +329,17 @@
         )
         return handle
 
+    def repeats_id(self, txn: str) -> bool:
+        """Whether a request with this id is open, or may still be executed although its client has left."""
+        return txn in self.open_ids or txn in self.abandoned_ids
+
     def client_gone(self, handle: int) -> None:
         query = self.queries.get(handle)
         if query is not None and not query.finished:
             self.counters.clients_gone += 1
             self._log_end("request_ended", handle, "client left")
+            if query.txn and query.in_flight:
+                self.abandoned_ids.add(query.txn)  # a server may go on with it
             self._finish_query(query)
             self.dispatch(ClientGone(handle))
 
