Bound the empty lines before a request, which one client could send without an end

Cause: the head reader skipped each empty line before a request in a loop over all that had been read, up to 32,000 a read, and kept no count; the turns of reading bound the work between two readers, not within one. Class: work without a bound within one turn.

Change: after 8 empty lines before a request it is malformed (400, and the connection ends). Five floods of one client at full speed are a test on a real process: one failed before, none fails now.

--- a/pearstall/net/http1.py
+++ b/pearstall/net/http1.py
@@ -14,6 +14,7 @@
 MAX_CHUNK_BYTES = 4 << 20  # a larger size is treated as corrupted framing, not as gigabytes of data
 EARLY_CHECK_BYTES = 4096  # only this much of an incomplete head is checked as it arrives
 MAX_HEADER_LINES = 1024
+MAX_EMPTY_LINES = 8  # before a request; RFC 9112, 2.2, wants at least one to be ignored
 TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 REQUEST_LINE = re.compile(r"([!#$%&'*+\-.^_`|~0-9A-Za-z]+) ([\x21-\x7e]+) HTTP/1\.([01])")
 STATUS_LINE = re.compile(r"HTTP/1\.([01]) ([1-9][0-9][0-9])(?: .*)?")
@@ -109,25 +110,29 @@
     """Reads heads from a buffer as they arrive, one after the other. Each byte is searched and each line is checked
     once, however the head is cut into pieces."""
 
-    __slots__ = ("response", "searched", "checked")
+    __slots__ = ("response", "searched", "checked", "empty_lines")
 
     def __init__(self, response: bool = False) -> None:
         self.response = response
         self.searched = 0  # bytes at the front of the buffer without an end of a head
         self.checked = 0  # bytes at the front of the buffer that are known to be lines of a head
+        self.empty_lines = 0  # skipped before the head
 
     def read(self, buffer: Buffer) -> Head | Malformed | None:
         """Takes a complete head from the buffer. None: it has not arrived completely, and until it has, nothing else
         may take bytes from the buffer."""
         while not self.response and buffer.peek(2) == b"\r\n":
-            buffer.skip(2)  # some clients send an additional line end after a body
+            if self.empty_lines == MAX_EMPTY_LINES:
+                return Malformed("no request line")
+            self.empty_lines += 1  # some clients send an additional line end after a body
+            buffer.skip(2)
         if not len(buffer) or (not self.response and buffer.peek(2) == b"\r"):
             return None
         end = buffer.find(b"\r\n\r\n", max(0, self.searched - 3), MAX_HEAD_BYTES + 4)
         if end < 0:
             self.searched = len(buffer)
             return self._check_incomplete(buffer)
-        self.searched = self.checked = 0
+        self.searched = self.checked = self.empty_lines = 0
         return _parse_head(buffer.take(end + 4)[:-2].decode("latin-1"), self.response)
 
     def _check_incomplete(self, buffer: Buffer) -> Malformed | None:
--- a/tests/test_bounded_work.py
+++ b/tests/test_bounded_work.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import contextlib
+import socket
+import threading
 from collections.abc import Iterator
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -118,3 +120,65 @@
 def test_only_the_labels_in_use_are_kept() -> None:
     labels = Labels(" prompt_len = 5 ,x=1,prefix=a=b,prefix_len=,xprefix=c,y" + ",z" * 1000)
     assert labels.values == {"prompt_len": "5", "prefix": "a=b", "prefix_len": ""}
+
+
+FLOODS = {
+    "empty lines": b"\r\n" * 30_000,
+    "requests of no class": f"POST {PATH} HTTP/1.1\r\nX-Txn: bad\r\nContent-Length: 2\r\n\r\n{{}}".encode() * 200,
+    "health checks": b"GET /_health HTTP/1.1\r\n\r\n" * 500,
+    "tiny chunks": b"1\r\nx\r\n" * 3000,
+    "no request": b"GET\r\n\r\n" * 3000,
+}
+FLOOD_LATE_SECONDS = 0.3  # an event that is passed on later than this is late
+
+
+def flood_until(stop: threading.Event, port: int, data: bytes) -> None:
+    """One client at full speed; it reads what it is sent, and comes again when it is turned away."""
+    start = f"{REQUEST_LINE}X-Txn: flood\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
+    while not stop.is_set():
+        with contextlib.suppress(OSError), socket.create_connection((LOCAL, port)) as end:
+            end.settimeout(PIECE_SECONDS)
+            reading = threading.Thread(target=read_until, args=(stop, end))
+            reading.start()
+            with contextlib.suppress(OSError):
+                end.sendall(start if data.startswith(b"1\r\n") else b"")
+                while not stop.is_set():
+                    end.sendall(data)
+            end.shutdown(socket.SHUT_RDWR)
+            reading.join()
+
+
+def read_until(stop: threading.Event, end: socket.socket) -> None:
+    while not stop.is_set():
+        try:
+            if not end.recv(65536):
+                return
+        except TimeoutError:
+            continue
+        except OSError:
+            return
+
+
+@pytest.mark.parametrize("data", FLOODS.values(), ids=FLOODS)
+def test_one_client_at_full_speed_does_not_delay_others(data: bytes, tmp_path: Path) -> None:
+    async def scene() -> None:
+        async with AsyncExitStack() as stack:
+            server = StandIn(0, ExecutionLog(), Behaviour(), 1, "platform")
+            await stack.enter_async_context(server.listening())
+            discovery = Discovery((LOCAL, free_ports(1)[0]))
+            discovery.put(row(server, "ready"))
+            await discovery.start()
+            router = RouterProcess(tmp_path, {"discovery": f"{LOCAL}:{discovery.address[1]}", "settings": setup()})
+            stack.callback(router.kill)
+            router.start()
+            await router.until_health(200, 20)
+            stop = threading.Event()
+            flood = threading.Thread(target=flood_until, args=(stop, router.port, data))
+            flood.start()
+            try:
+                assert await slowest_answer(router, SECONDS) < FLOOD_LATE_SECONDS
+            finally:
+                stop.set()
+                await asyncio.to_thread(flood.join)
+
+    asyncio.run(scene())
