Bound the prefixes whose requests are counted, which clients may name anew each time

Cause: requests are counted for each prefix, and a count is dropped only once it has decayed below 0.05, after 58 intervals; the number of prefixes had no limit. 4,096 sessions and prefixes and 512 for each replica were bounded; 8,192 names with their hashes too, a quarter of what 32 MB leave.

Change: beyond 4,096 prefixes the one that was asked for least recently is dropped; 1,024 names are kept with their hashes. With fewer prefixes the decisions are the same.

--- a/pearstall/choice.py
+++ b/pearstall/choice.py
@@ -452,8 +452,7 @@
             self.tenant_request_share = [0.98 * share for share in self.tenant_request_share]
             self.tenant_request_share[request.tenant] += 0.02
         if request.prefix:
-            self.prefix_requests[request.prefix] = self.prefix_requests.get(request.prefix, 0.0) + 1.0
-            self.prefix_requests_total += 1.0
+            self._count_prefix_request(request.prefix)
         self.pending[request.id] = pending
         self._dispatch(pending)
 
@@ -623,6 +622,14 @@
         self._remember_first_try(pending)
         self._finish(pending)
 
+    def _count_prefix_request(self, prefix: int) -> None:
+        """Clients choose the prefixes: of too many, those that were asked for least recently are dropped."""
+        counts = self.prefix_requests
+        counts[prefix] = counts.pop(prefix, 0.0) + 1.0
+        self.prefix_requests_total += 1.0
+        if len(counts) > REMEMBERED_KEYS_MAX:
+            self.prefix_requests_total -= counts.pop(next(iter(counts)))
+
     def _remember_first_try(self, pending: _PendingRequest) -> None:
         """Remembers when an unserved request came first, for the aim of its repeats."""
         request = pending.request
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -15,6 +15,7 @@
 PATH = "/v1/chat/completions"
 HEALTH = "/_health"
 MAX_WAIT_SECONDS = 3600.0
+CACHED_NAMES = 1024  # with their hashes
 # All other headers of a client are forwarded to the model server, like the idempotency key of a class that has one.
 # These are hop-by-hop headers (RFC 9110, 7.6.1), headers that the router sets itself, and headers for it only.
 # accept-encoding is among them because the router reads the events of answers, so they must not be compressed.
@@ -42,7 +43,7 @@
     return int.from_bytes(blake2b(name.encode("latin-1", "replace"), digest_size=8).digest(), "little") or 1
 
 
-_cached_hash = lru_cache(maxsize=8192)(_hash)
+_cached_hash = lru_cache(maxsize=CACHED_NAMES)(_hash)
 
 
 def decimal(text: str) -> float | None:
