Do not cut a stream whose server is still writing an event

Cause: a stream without a whole event for 4.0 s (4.7 s where clients don't ask for the rest) was taken for one of a machine that has vanished, whether or not bytes of the next event kept coming.

Change: bytes that may be part of an event count as a sign of life, for 60 s and the 1 MB that an event may have; noise in their place does not, so that a spoilt stream still ends within 5 s.

--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -45,6 +45,7 @@
 # The same where clients don't request the rest of a stream: an event within 5 s of the last one is owed to them, less
 # what events are late on their way here.
 UNRESUMED_STREAM_STALL_SECONDS = 4.7
+SLOW_EVENT_SECONDS = 60.0  # for one event of which parts keep coming
 STREAM_CHECK_SECONDS = 1.0  # between two checks of a stream
 QUIET_BEFORE_MOVE_SECONDS = 0.5  # without a new query for this long, clients are using another router
 # This long after a query's deadline, the core answers in place of a Router that has not; it still counts as on time.
@@ -168,7 +169,7 @@
     """One attempt of a query."""
 
     __slots__ = ("query", "number", "replica", "started_at", "expires_at", "streaming", "ended", "timeout",
-                 "carrier", "last_event_at", "paused")  # fmt: skip
+                 "carrier", "last_event_at", "last_part_at", "paused")  # fmt: skip
 
     def __init__(self, query: Query, number: int, replica: int, started_at: float) -> None:
         self.query = query
@@ -181,9 +182,16 @@
         self.timeout: Deadline | None = None
         self.carrier: Carrier | None = None
         self.last_event_at = started_at
+        self.last_part_at = started_at  # of an event that is not complete
         self.paused = False  # the client reads too slowly
 
 
+    @property
+    def last_sign_at(self) -> float:
+        """When its server last wrote an event, or a part of one that does not take too long."""
+        return max(self.last_event_at, min(self.last_part_at, self.last_event_at + SLOW_EVENT_SECONDS))
+
+
 class Servers(Protocol):
     def start(self, execution: Execution) -> Carrier | None:
         """None if the server is no longer listed or accepts nothing new."""
@@ -464,9 +472,13 @@
         elif not query.finished and query.answer.pass_on(events):
             query.forwarded = True
 
+    def received_part(self, execution: Execution) -> None:
+        """Part of an event has arrived: its server is slow, and not silent."""
+        execution.last_part_at = self.clock()
+
     def _watch_stream(self, execution: Execution) -> None:
         stall = STREAM_STALL_SECONDS if self.streams_resumable else UNRESUMED_STREAM_STALL_SECONDS
-        stalled_at = execution.last_event_at + stall
+        stalled_at = execution.last_sign_at + stall
         if execution.paused or self.clock() < stalled_at:
             next_check = self._next_stream_check(execution, stalled_at)
             execution.timeout = self.deadlines.at(next_check, partial(self._watch_stream, execution))
--- a/pearstall/net/events.py
+++ b/pearstall/net/events.py
@@ -10,6 +10,8 @@
 MAX_EVENT_BYTES = 1 << 20
 # Possessive throughout: a line end that can be matched in two ways must not cause backtracking.
 WELL_FORMED_LINES = re.compile(rb"(?:(?:(?:data|event|id|retry)(?::[^\r\n]*+)?+|:[^\r\n]*+)?+(?>\r\n|\r|\n))*+")
+FIELDS = (b"data:", b"event:", b"id:", b"retry:", b":")
+LONGEST_FIELD_BYTES = 6
 EVENT_ENDS = (b"\n\n", b"\r\n\r\n", b"\r\r")
 
 
@@ -36,6 +38,13 @@
         self.remainder = b"" if self.error else data[cut:]
         return data[:cut] if cut or self.error is None else self.error
 
+    @property
+    def holds_part_of_event(self) -> bool:
+        """Whether the remainder ends in what may be the beginning of a line of an event, and not in noise."""
+        last_line = max(self.remainder.rfind(b"\n"), self.remainder.rfind(b"\r")) + 1
+        start = self.remainder[last_line : last_line + LONGEST_FIELD_BYTES]
+        return bool(self.remainder) and any(start.startswith(field) or field.startswith(start) for field in FIELDS)
+
 
 def _end_of_last_event(data: bytes, end: int) -> int:
     """The offset behind the last complete event that ends at or before `end`; 0: there is none."""
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -232,6 +232,8 @@
                 self.fail(events.why)
                 return
             self._forward(events)
+            if self.execution is not None and self.splitter.holds_part_of_event:
+                self.owner.core.received_part(self.execution)
             error = error or self.splitter.error
         if error is not None:
             self.fail(error.why)
--- a/tests/test_slow_servers.py
+++ b/tests/test_slow_servers.py
@@ -53,6 +53,16 @@
     await asyncio.sleep(30)
 
 
+def closing_after(handler: Handler) -> Handler:
+    async def handle(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await handler(reader, writer)
+        finally:
+            writer.transport.abort()
+
+    return handle
+
+
 @asynccontextmanager
 async def router_before(folder: Path, handler: Handler, resume: bool) -> AsyncIterator[RouterProcess]:
     async with contextlib.AsyncExitStack() as stack:
@@ -60,7 +70,7 @@
         for number in range(2):
             listener = socket.create_server((LOCAL, 0))
             listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
-            server = await asyncio.start_server(handler, sock=listener, limit=READ_BYTES)
+            server = await asyncio.start_server(closing_after(handler), sock=listener, limit=READ_BYTES)
             stack.callback(server.close)
             address = f"{LOCAL}:{listener.getsockname()[1]}"
             row: dict[str, Any] = {"name": f"s{number}", "address": address, "zone": "a", "type": "m1", "group": 0}
@@ -107,3 +117,28 @@
                 wire.writer.close()
 
     asyncio.run(scene())
+
+
+def test_noise_that_keeps_coming_does_not_keep_a_stream_open(tmp_path: Path) -> None:
+    """A spoilt stream is ended within 5 s of its last event."""
+
+    async def write_noise(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + b"%x\r\n%b\r\n" % (len(EVENT), EVENT))
+        with contextlib.suppress(OSError):
+            while True:
+                await asyncio.sleep(0.2)
+                writer.write(b"3\r\n\x07zz\r\n")
+                await writer.drain()
+
+    async def scene() -> None:
+        async with router_before(tmp_path, write_noise, True) as router:
+            wire = Wire(*await asyncio.open_connection(LOCAL, router.port))
+            wire.writer.write(request("t1", 10))
+            head = await wire.head(True)
+            assert head is not None
+            async with asyncio.timeout(5.0):
+                assert await wire.body(head) == (EVENT, False)
+            wire.writer.close()
+
+    asyncio.run(scene())
