Keep connections to model servers by process, not by address

Cause: idle connections were pooled by address alone, and a connection under way was checked against the address alone. A process that has gone may hold its open connections: it ends what it has, or its machine was cut off and says nothing.

Change: the pool's key is the address with the server's name and the start that discovery reports; a connection that comes up for an earlier process is not used. A start that is not reported (0) can't be told from another.

Two calls in test_crossings use the new name of the attribute.

--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -47,6 +47,7 @@
         self.zones = {name: number for number, name in enumerate(names.dcs)}
         self.kinds = {name: number for number, name in enumerate(names.models)}
         self.addresses: dict[int, tuple[str, int]] = {}
+        self.since_ms: dict[int, float] = {}  # start of each server's process, as discovery reports it
         self.names: dict[int, str] = {}
         self.types: dict[int, str] = {}
         self.draining: set[int] = set()
@@ -65,7 +66,7 @@
         if update.index >= 0:
             self.index = update.index
         if kind != ListKind.DELTA:
-            self.addresses, self.types, self.names, self.draining = {}, {}, {}, set()
+            self.addresses, self.types, self.names, self.draining, self.since_ms = {}, {}, {}, set(), {}
         replicas = [self._replica(host) for host in update.hosts]
         if not (kind == ListKind.DELTA and not replicas):
             self.core.listed(ReplicaList(kind, replicas))
@@ -101,8 +102,10 @@
             self.addresses.pop(id, None)
             self.types.pop(id, None)
             self.names.pop(id, None)
+            self.since_ms.pop(id, None)
         else:
             self.addresses[id] = address
+            self.since_ms[id] = host.since_ms
             self.types[id] = host.type
         started = self.start_times.started(id, host.since_ms)
         return Replica(
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -25,7 +25,7 @@
 from pearstall.net.openai import OpenAIFront, OpenAIServer
 from pearstall.net.platform import PlatformFront, PlatformServer
 from pearstall.net.reconfigure import Renumbering, renumber
-from pearstall.net.server_link import ServerForm, ServerLinks
+from pearstall.net.server_link import Endpoint, ServerForm, ServerLinks
 
 if TYPE_CHECKING:
     from pearstall.edge.attach import EdgeSide
@@ -181,11 +181,12 @@
         self.counters.accept_failures += 1
         self.log.event("accept_failed", why=error.strerror or str(error))
 
-    def _resolve(self, replica: int) -> tuple[tuple[str, int], ServerForm] | None:
+    def _resolve(self, replica: int) -> tuple[Endpoint, ServerForm] | None:
         address = self.cluster.addresses.get(replica)
         if address is None or replica in self.cluster.draining:
             return None  # accepts no new requests
-        return address, self.forms.get(self.cluster.types.get(replica, ""), self.form)
+        endpoint = Endpoint(*address, replica, self.cluster.since_ms.get(replica, 0))
+        return endpoint, self.forms.get(self.cluster.types.get(replica, ""), self.form)
 
     def _listed(self) -> None:
         if self.cluster.addresses and self.core.router.list_verified:
--- a/pearstall/net/server_link.py
+++ b/pearstall/net/server_link.py
@@ -1,4 +1,4 @@
-"""Connections to model servers: pooled by address, one execution at a time."""
+"""Connections to model servers: pooled by process, one execution at a time."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import contextlib
 import socket
 from collections.abc import Callable
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from pearstall.net.buffer import Buffer
 from pearstall.net.core import Blamed, Broken, Carrier, Core, Declined, End, Execution, Query, Reach, Served
@@ -18,7 +18,16 @@
 from pearstall.net.pending import pending
 from pearstall.net.slots import Slots
 
-Address = tuple[str, int]
+
+class Endpoint(NamedTuple):
+    """One process of a model server. Another one may take its address later, or start again under its name."""
+
+    host: str
+    port: int
+    replica: int
+    since_ms: float  # its start, as discovery reports it
+
+
 MAX_ERROR_BODY_BYTES = 64 * 1024
 MAX_EVENT_WHILE_SHORT_BYTES = 64 * 1024  # of an incomplete event, while memory is short
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before the final one
@@ -35,7 +44,7 @@
 class ServerForm(Protocol):
     """The wire form of a kind of model server."""
 
-    def request(self, query: Query, address: Address, timeout: float) -> bytes: ...
+    def request(self, query: Query, address: tuple[str, int], timeout: float) -> bytes: ...
 
     def turned_away(self, head: Head) -> bool: ...
 
@@ -45,10 +54,10 @@
 
 
 class ServerLink(asyncio.BufferedProtocol):
-    def __init__(self, owner: ServerLinks, address: Address) -> None:
+    def __init__(self, owner: ServerLinks, endpoint: Endpoint) -> None:
         self.owner = owner
         self.form: ServerForm
-        self.address = address
+        self.endpoint = endpoint
         self.handle = owner.links.add(self)
         self.buffer = Buffer()
         self.transport: asyncio.Transport | None = None
@@ -110,7 +119,9 @@
 
     async def _connect(self) -> None:
         try:
-            await asyncio.get_running_loop().create_connection(lambda: self, *self.address)
+            await asyncio.get_running_loop().create_connection(
+                lambda: self, self.endpoint.host, self.endpoint.port
+            )
         except OSError as error:
             self._trace(f"refused {error.errno}")
             self.fail(f"connect: {error.strerror or error}")
@@ -132,7 +143,7 @@
         """While the connection was being established, the client may have left, the deadline may have passed, or the
         server may have started to drain."""
         target = self.owner.resolve(execution.replica)
-        listed = target is not None and target[0] == self.address
+        listed = target is not None and target[0] == self.endpoint
         return self.owner.core.still_needed(execution, listed)
 
     def _trace(self, what: str) -> None:
@@ -144,7 +155,8 @@
         self.written = True
         # Encoded only now: if the connection took long to establish, less time is left than when it was requested.
         left = self.execution.expires_at - self.owner.deadlines.clock.time()
-        self.transport.write(self.form.request(self.execution.query, self.address, left))
+        address = (self.endpoint.host, self.endpoint.port)
+        self.transport.write(self.form.request(self.execution.query, address, left))
         self._count_memory()
 
     def pause_writing(self) -> None:
@@ -359,7 +371,7 @@
         connect_limit: float,
         idle_limit: float,
         max_links: int,
-        resolve: Callable[[int], tuple[Address, ServerForm] | None],
+        resolve: Callable[[int], tuple[Endpoint, ServerForm] | None],
         memory: HeldMemory | None = None,
     ) -> None:
         self.deadlines = deadlines
@@ -371,37 +383,37 @@
         self.core: Core  # set once the core has been created: each refers to the other
         self.memory = memory or HeldMemory()
         self.links: Slots[ServerLink] = Slots()
-        self.idle: dict[Address, list[ServerLink]] = {}
+        self.idle: dict[Endpoint, list[ServerLink]] = {}
 
     def start(self, execution: Execution) -> Carrier | None:
         target = self.resolve(execution.replica)
         if target is None:
             return None
-        address, form = target
-        if (link := self._take_idle(address)) is not None:
+        endpoint, form = target
+        if (link := self._take_idle(endpoint)) is not None:
             self.counters.server_links_reused += 1
             link.begin(execution, form)
             return link
         if len(self.links) >= self.max_links:
             self._close_one_idle()
-        link = ServerLink(self, address)
+        link = ServerLink(self, endpoint)
         self.memory.count_connections(1)
         self.counters.server_links += 1
         link.begin(execution, form)
         link.connect(self.connect_limit)
         return link
 
-    def _take_idle(self, address: Address) -> ServerLink | None:
+    def _take_idle(self, endpoint: Endpoint) -> ServerLink | None:
         """The most recently used connection that is past its reuse delay, so that surplus ones reach their idle
         timeout."""
         idle_before = self.deadlines.clock.time() - REUSE_DELAY_SECONDS
-        for link in reversed(self.idle.get(address, [])):
+        for link in reversed(self.idle.get(endpoint, [])):
             if link.idle_since > idle_before:
                 continue
             if link.transport is None or link.transport.is_closing() or pending(link.transport):
                 link.close()  # the server's close has arrived but was not read yet: the query would get a reset
                 continue
-            self.idle[address].remove(link)
+            self.idle[endpoint].remove(link)
             return link
         return None
 
@@ -413,17 +425,17 @@
 
     def release(self, link: ServerLink) -> None:
         link.idle_since = self.deadlines.clock.time()
-        self.idle.setdefault(link.address, []).append(link)
+        self.idle.setdefault(link.endpoint, []).append(link)
         link.deadline = self.deadlines.after(self.idle_limit, link.close)
 
     def drop(self, link: ServerLink) -> None:
         if self.links.remove(link.handle) is not None:
             self.memory.count_connections(-1)
-        idle = self.idle.get(link.address)
+        idle = self.idle.get(link.endpoint)
         if idle and link in idle:
             idle.remove(link)
         if idle is not None and not idle:
-            del self.idle[link.address]  # servers come and go: an entry for each address ever seen would add up
+            del self.idle[link.endpoint]  # servers come and go: an entry for each one ever seen would add up
 
     def close_idle(self) -> None:
         for links in list(self.idle.values()):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -229,9 +229,9 @@
             first, second, third = links
             now = program.loop.time()
             first.idle_since, second.idle_since, third.idle_since = now - 60.0, now - 50.0, now + 60.0
-            assert program.servers._take_idle(first.address) is second
-            assert program.servers._take_idle(first.address) is first
-            assert program.servers._take_idle(first.address) is None and links == [third]
+            assert program.servers._take_idle(first.endpoint) is second
+            assert program.servers._take_idle(first.endpoint) is first
+            assert program.servers._take_idle(first.endpoint) is None and links == [third]
 
     asyncio.run(scene())
 
@@ -319,7 +319,7 @@
             ((link,),) = program.servers.idle.values()
             (writer,) = server.open
             writer.get_extra_info("socket").shutdown(socket.SHUT_WR)
-            assert program.servers._take_idle(link.address) is None and link.closed  # in the same loop iteration
+            assert program.servers._take_idle(link.endpoint) is None and link.closed  # in the same loop iteration
             assert (await client.ask())[0] == "served" and program.counters.outcomes == {"ok": 2}
 
     asyncio.run(scene())
