Let the kernel hold 64 KiB of an answer that its client does not read, not megabytes

Cause: accepted sockets had no limit on unsent bytes in the kernel, which grows a send buffer to 4 MB. Nothing of it is resident memory of the process, so no count and no sample saw it, and answers were read from their model servers far ahead of clients.

Change: TCP_NOTSENT_LOWAT of 64 KiB on the listening socket, which accepted ones inherit; where it can't be set nothing changes. ctypes, for glibc's malloc_trim, is optional from here on.

--- a/pearstall/net/listener.py
+++ b/pearstall/net/listener.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 import socket
 from collections.abc import Callable
@@ -20,6 +21,9 @@
 START_ERRORS = SHORTAGES | {errno.EADDRINUSE, errno.EADDRNOTAVAIL, errno.EINTR, errno.EAGAIN}
 START_ATTEMPTS = 30
 START_PAUSE_SECONDS = 0.1
+# Unsent bytes that the kernel holds for one connection. Without a limit it takes some MB of an answer that its client
+# does not read, which count as the process's memory where the platform counts sockets.
+KERNEL_UNSENT_BYTES = 64 * 1024
 
 MakeProtocol = Callable[[], asyncio.BaseProtocol]
 
@@ -37,6 +41,8 @@
     sock = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     try:
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):  # not everywhere; accepted sockets inherit it
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, KERNEL_UNSENT_BYTES)
         sock.setblocking(False)
         sock.bind((host, port))
         sock.listen(BACKLOG)
--- a/pearstall/net/memory.py
+++ b/pearstall/net/memory.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-import ctypes
 import gc
 import os
 from collections.abc import Callable
@@ -109,7 +108,9 @@
 class LinuxMemory:
     def __init__(self) -> None:
         self.trim: Callable[[int], int] | None = None
-        with suppress(AttributeError, OSError):  # another C library than glibc
+        with suppress(ImportError, AttributeError, OSError):  # an interpreter without ctypes, or another C library
+            import ctypes
+
             library = ctypes.CDLL(None)
             library.mallopt(M_MMAP_THRESHOLD, SEPARATELY_MAPPED_BYTES)
             self.trim = library.malloc_trim
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import contextlib
+import fcntl
 import gc
 import itertools
+import struct
 import weakref
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -18,9 +20,12 @@
 from pearstall.net.buffer import INITIAL_BYTES
 from pearstall.net.client_link import MAX_UNSENT_BYTES
 from pearstall.net.core import Query
+from pearstall.net.listener import KERNEL_UNSENT_BYTES
 from tests.net_support import HEAD, PATH, Client, ModelServer, running, setup, until
 from tests.test_restart_membership import row
 
+SIOCOUTQNSD = 0x894B  # ioctl of tcp(7): bytes that were not sent yet
+ONE_SEND_BYTES = 64 * 1024  # the limit is looked at before each buffer of the kernel that a send fills
 MEMORY_LIMIT_MB = 96
 BAD_CLIENTS = 330  # with the sound ones, a third of the descriptors
 HEAD_BYTES = 32_000
@@ -252,3 +257,24 @@
         asyncio.run(scene())
     finally:
         gc.enable()
+
+
+def test_the_kernel_holds_little_of_an_answer_that_a_client_does_not_read(tmp_path: Path) -> None:
+    """It took up to 4 MB of each, which no limit of the router counted."""
+
+    async def scene() -> None:
+        async with (
+            ModelServer("platform", "flood").listening() as server,
+            running(tmp_path, [server]) as (program, ports),
+        ):
+            client = Client("platform", ports["platform"])
+            await client.send()
+            await until(lambda: any(link.write_paused for link in program.clients.links))
+            (link,) = program.clients.links
+            assert link.transport is not None
+            descriptor = link.transport.get_extra_info("socket").fileno()
+            unsent = struct.unpack("i", fcntl.ioctl(descriptor, SIOCOUTQNSD, b"\0" * 4))[0]
+            assert 0 < unsent <= KERNEL_UNSENT_BYTES + ONE_SEND_BYTES
+            client.close()
+
+    asyncio.run(scene())
