--- a/pearstall/lab/processes.py
+++ b/pearstall/lab/processes.py
@@ -71,6 +71,16 @@
     def exit_code(self) -> int | None:
         return None if self.process is None else self.process.poll()
 
+    def peak_bytes(self) -> int:
+        """The most that the process has had resident; 0: it has ended."""
+        assert self.process is not None
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+        except OSError:
+            return 0
+        sizes = [line.split()[1] for line in status.splitlines() if line.startswith("VmHWM")]
+        return int(sizes[0]) * 1024 if sizes else 0
+
     def log(self) -> str:
         return self.log_path.read_text(errors="replace") if self.log_path.exists() else ""
 
--- a/pearstall/lab/soak.py
+++ b/pearstall/lab/soak.py
@@ -25,8 +25,9 @@
 
 import msgspec
 
+from pearstall.lab.bad_clients import play_waves
 from pearstall.lab.fault_shim import Faults
-from pearstall.lab.processes import RouterProcess
+from pearstall.lab.processes import ROUTER, RouterProcess
 from pearstall.lab.rig import free_ports, platform_settings
 from pearstall.lab.servers import LOCAL, Behaviour, ExecutionLog, StandIn
 from pearstall.lab.stations import Discovery
@@ -47,7 +48,8 @@
 MUST_ANSWER_SECONDS = 0.7  # after SIGTERM: a request sent by then is answered before the kill
 READY_SECONDS = 10.0
 LONGEST_OUTAGE = 4.0
-KINDS = ("plain", "syscalls", "sockets", "clock", "log", "crowd")
+SMALLEST_MEMORY_MB = 32  # that the operators name
+KINDS = ("plain", "syscalls", "sockets", "clock", "log", "crowd", "flood")
 FAULTS = {
     "plain": Faults(),
     "syscalls": Faults(accept=0.2, connect=0.1, make_socket=0.05, interrupt=0.1, short=0.02),
@@ -55,6 +57,7 @@
     "clock": Faults(clock_steps=[(1.0, 3600.0), (4.0, -7200.0), (7.0, 3600.0)]),
     "log": Faults(log=0.3),
     "crowd": Faults(),
+    "flood": Faults(),
 }
 
 
@@ -209,6 +212,8 @@
             clients = [asyncio.create_task(SoakClient(self, number).run()) for number in range(CLIENTS)]
             if self.kind == "crowd":
                 stack.callback(asyncio.create_task(self._open_idle_connections()).cancel)
+            if self.kind == "flood":
+                stack.callback(asyncio.create_task(play_waves(self.router.port, Random(self.seed))).cancel)
             changes = asyncio.create_task(self._change_server_list())
             await self._send_signals()
             self.running = False
@@ -231,10 +236,14 @@
         settings = platform_settings(groupSize=routers, me=self.random.randrange(routers))
         known = {"index": self.discovery.index, "snapshot": True, "endpoints": list(self.discovery.rows.values())}
         limits = {"sockets": 128 if self.kind == "crowd" else 1024}
+        if self.kind == "flood":
+            limits["memory_mb"] = SMALLEST_MEMORY_MB
         return {"discovery": f"{LOCAL}:{self.discovery.address[1]}", "known": known, "settings": settings,
                 "limits": limits, "name": "n0"}  # fmt: skip
 
     def _launcher(self) -> list[str]:
+        if self.kind == "flood":
+            return list(ROUTER)  # the injector's own libraries would count against the memory limit
         faults = FAULTS[self.kind]
         faults = msgspec.structs.replace(faults, seed=self.seed)
         return ["-m", "pearstall.lab.fault_shim", msgspec.json.encode(faults).decode(), "--"]
@@ -328,6 +337,7 @@
             if self.router.exit_code not in (None, 0):
                 self._breach(f"exit code {self.router.exit_code} after SIGTERM")
         killed_at = loop.time()
+        self._check_memory()
         self.router.kill()
         self.stops.append((requested_at if graceful else killed_at - MUST_ANSWER_SECONDS - 60.0, killed_at))
         await asyncio.sleep(self.random.uniform(0.0, 1.0))
@@ -340,7 +350,13 @@
         self.report.restarts += 1
         await self._wait_until_ready()
 
+    def _check_memory(self) -> None:
+        peak = self.router.peak_bytes()
+        if self.kind == "flood" and peak > SMALLEST_MEMORY_MB * 1_000_000:
+            self._breach(f"the process had {peak / 1e6:.1f} MB, of {SMALLEST_MEMORY_MB} allowed")
+
     def _check(self) -> None:
+        self._check_memory()
         if self.router.exit_code is not None:
             self._breach(f"the router exited by itself with code {self.router.exit_code}: {self.router.log()[-300:]}")
         for record in self.requests:
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -54,13 +54,6 @@
     return f"{REQUEST_LINE}X-Txn: bad{number}\r\nContent-Length: 9\r\n{short_header_lines(HEAD_BYTES)}\r\n{{".encode()
 
 
-def memory_mb(router: RouterProcess) -> float:
-    """The most that the process has had resident."""
-    assert router.process is not None
-    status = Path(f"/proc/{router.process.pid}/status").read_text()
-    return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1]) / 1024
-
-
 async def bad_client(port: int, data: bytes) -> None:
     with contextlib.suppress(OSError):
         reader, writer = await asyncio.open_connection(LOCAL, port)
@@ -92,7 +85,7 @@
             await router.until_health(200, 20)
             await asyncio.gather(*(bad_client(router.port, half_request(number)) for number in range(BAD_CLIENTS)))
             assert router.exit_code is None
-            assert memory_mb(router) < MEMORY_LIMIT_MB
+            assert router.peak_bytes() < MEMORY_LIMIT_MB << 20
             assert (await Client("platform", router.port).ask())[0] == "served"
 
     asyncio.run(scene())
--- a/tests/test_memory_under_crowds.py
+++ b/tests/test_memory_under_crowds.py
@@ -131,13 +131,6 @@
         yield router
 
 
-def peak_bytes(router: RouterProcess) -> int:
-    """The most that the process has had resident."""
-    assert router.process is not None
-    status = Path(f"/proc/{router.process.pid}/status").read_text()
-    return int(next(line for line in status.splitlines() if line.startswith("VmHWM")).split()[1]) * 1024
-
-
 def mapped_files(router: RouterProcess) -> str:
     assert router.process is not None
     return Path(f"/proc/{router.process.pid}/maps").read_text()
@@ -159,7 +152,7 @@
             peaks = []
             for wave in range(WAVES):
                 await asyncio.gather(*(crowd(router.port, f"{wave}-{number}") for number in range(CROWD)))
-                peaks.append(round(peak_bytes(router) / 1e6, 1))
+                peaks.append(round(router.peak_bytes() / 1e6, 1))
             assert router.exit_code is None
             assert max(peaks) < MEMORY_MB, peaks
             assert (await Client("platform", router.port).ask())[0] == "served"
