Move the table of client connections into a module, and limit ids to one front

Change: net/client_links.py has ClientLinks as it was. Ids are remembered on the platform's front only, whose clients give each request a new one.

--- a/pearstall/edge/attach.py
+++ b/pearstall/edge/attach.py
@@ -14,7 +14,7 @@
 from pearstall.edge.settings import EdgeConfig
 from pearstall.edge.tokens import Keyring
 from pearstall.logs import make_logger
-from pearstall.net.client_link import ClientLinks
+from pearstall.net.client_links import ClientLinks
 from pearstall.net.config import Config, OpenAIConfig
 from pearstall.net.core import Core
 
--- a/pearstall/models/client.py
+++ b/pearstall/models/client.py
@@ -17,7 +17,8 @@
 from pearstall.models.attempt import Clock
 from pearstall.models.explore import Model, Property
 from pearstall.net.buffer import Buffer
-from pearstall.net.client_link import ClientLink, ClientLinks
+from pearstall.net.client_link import ClientLink
+from pearstall.net.client_links import ClientLinks
 from pearstall.net.config import Named, Names
 from pearstall.net.core import Blamed, Core, Query
 from pearstall.net.counters import Counters
@@ -133,8 +134,8 @@
         self.breaches_seen: list[str] = []
         self.log = SILENT
 
-    def repeats_id(self, txn: str) -> bool:
-        return txn in self.open_ids
+    def repeats_id(self, query: Query) -> bool:
+        return query.txn in self.open_ids
 
     def take(self, query: Query) -> int:
         self.taken += 1
--- a/pearstall/models/mutants.py
+++ b/pearstall/models/mutants.py
@@ -363,7 +363,7 @@
     ),
     Mutant(
         "a lost link stays among those that owe a query",
-        "pearstall.net.client_link:ClientLinks.forget",
+        "pearstall.net.client_links:ClientLinks.forget",
         "self.awaiting_request.pop(link, None)",
         "pass",
         "client",
--- a/pearstall/net/cluster.py
+++ b/pearstall/net/cluster.py
@@ -66,7 +66,8 @@
         if update.index >= 0:
             self.index = update.index
         if kind != ListKind.DELTA:
-            self.addresses, self.types, self.names, self.draining, self.since_ms = {}, {}, {}, set(), {}
+            self.addresses, self.types, self.names, self.draining = {}, {}, {}, set()
+            self.since_ms = {}
         replicas = [self._replica(host) for host in update.hosts]
         if not (kind == ListKind.DELTA and not replicas):
             self.core.listed(ReplicaList(kind, replicas))
--- a/pearstall/net/core.py
+++ b/pearstall/net/core.py
@@ -149,6 +149,7 @@
     body: bytes = b""
     headers: str = ""  # header lines that are forwarded to the model server unchanged
     txn: str = ""  # the client's own id; empty if it sent none, and never generated here
+    unique_id: bool = False  # clients of this front give each request a new id
     prompt_tokens: float = 0.0
     session: int = 0
     prefix: int = 0
@@ -337,16 +338,16 @@
         )
         return handle
 
-    def repeats_id(self, txn: str) -> bool:
+    def repeats_id(self, query: Query) -> bool:
         """Whether a request with this id is open, or may still be executed although its client has left."""
-        return txn in self.open_ids or txn in self.abandoned_ids
+        return query.txn in self.open_ids or (query.unique_id and query.txn in self.abandoned_ids)
 
     def client_gone(self, handle: int) -> None:
         query = self.queries.get(handle)
         if query is not None and not query.finished:
             self.counters.clients_gone += 1
             self._log_end("request_ended", handle, "client left")
-            if query.txn and query.in_flight:
+            if query.unique_id and query.in_flight:
                 self.abandoned_ids.add(query.txn)  # a server may go on with it
             self._finish_query(query)
             self.dispatch(ClientGone(handle))
--- a/pearstall/net/platform.py
+++ b/pearstall/net/platform.py
@@ -120,6 +120,7 @@
             body=body,
             headers=end_to_end_headers(head),
             txn=txn,
+            unique_id=True,
             prompt_tokens=labels.number("prompt_len", len(body) / 4),
             session=number_of(headers.get("x-entity", "")),
             prefix=number_of(labels.values.get("prefix", "")),
--- a/pearstall/net/serve.py
+++ b/pearstall/net/serve.py
@@ -14,7 +14,8 @@
 from pearstall import signals
 from pearstall.eventlog import SILENT, DescriptorSink, EventLog, log_exception
 from pearstall.interface import ListKind
-from pearstall.net.client_link import ClientLink, ClientLinks
+from pearstall.net.client_link import ClientLink
+from pearstall.net.client_links import ClientLinks
 from pearstall.net.cluster import Cluster
 from pearstall.net.config import Config, ConfigError, reread_config
 from pearstall.net.core import Core
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -24,7 +24,8 @@
 from pearstall.models.client import Transport
 from pearstall.net import serve, server_link
 from pearstall.net.buffer import MAX_RETAINED_BYTES
-from pearstall.net.client_link import LINGER_SECONDS, MAX_PIPELINED_BYTES, ClientLink, ClientLinks
+from pearstall.net.client_link import LINGER_SECONDS, MAX_PIPELINED_BYTES, ClientLink
+from pearstall.net.client_links import ClientLinks
 from pearstall.net.config import Named, Names, read_config
 from pearstall.net.core import Carrier, Execution
 from pearstall.net.inventory import Host, HostList
