Check a connection that is not read by one timer, and relieve memory for a gain

Each query with others behind it started another timer for its connection, and each of them went on while the connection was not read; and at 32 MB free memory was returned to the system twice a second even where nothing had changed, some milliseconds of a garbage collection each time.

Change: one timer a connection; a relief only once 256 KiB more are resident than what is held explains.

--- a/pearstall/net/client_link.py
+++ b/pearstall/net/client_link.py
@@ -229,7 +229,8 @@
             self._end_flood()
         elif len(self.buffer) >= MAX_READ_AHEAD_BYTES or self.owner.memory.short:
             self._pause_reading(True)
-            self._check_paused()
+            if self.paused_check is None:
+                self._check_paused()
 
     @property
     def pipelined_bytes(self) -> int:
--- a/pearstall/net/memory.py
+++ b/pearstall/net/memory.py
@@ -19,13 +19,14 @@
 
 STATM = Path("/proc/self/statm")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
-MEGABYTE = 1_000_000
+MEGABYTE_BYTES = 1_000_000
 HELD_FRACTION = 0.2  # of the memory limit, for all that is held for connections
 RESERVE_BYTES = 3_500_000  # of the memory limit, for what grows between two samples and is not counted
 MIN_SPARE_BYTES = 2_000_000  # held for connections in any case: a process that is too large still has to serve
 CONNECTION_BYTES = 7 * 1024  # that a connection takes before it holds any data: objects of Python and asyncio
 SAMPLE_SECONDS = 0.1
 COMPARED_GROWTH_BYTES = 512 * 1024  # of what is held; after it the next sample is taken at once
+RELIEF_GROWTH_BYTES = 256 * 1024  # of what is not counted since the last relief; before, another one gains nothing
 RELIEF_SECONDS = 0.5  # between two reliefs while the limit is not reached
 MIN_RELIEF_SECONDS = 0.02  # between two reliefs in any case
 LOGGED_CHANGE_BYTES = 1 << 20  # a smaller change since the last line is not logged
@@ -106,6 +107,8 @@
 
 
 class LinuxMemory:
+    """Of a process that runs one router alone, on Linux. glibc returns large blocks as soon as they are freed."""
+
     def __init__(self) -> None:
         self.trim: Callable[[int], int] | None = None
         with suppress(ImportError, AttributeError, OSError):  # an interpreter without ctypes, or another C library
@@ -158,10 +161,11 @@
         self.peak_bytes = 0  # of all samples
         self.logged_bytes = 0
         self.relieved_at = 0.0
+        self.uncounted_bytes = 0  # resident beyond what is held, after the last relief
         self.short = False  # as last logged
 
     def set_limit(self, memory_mb: float) -> None:
-        self.limit_bytes = int(memory_mb * MEGABYTE)
+        self.limit_bytes = int(memory_mb * MEGABYTE_BYTES)
         self.held.max_bytes = int(self.limit_bytes * HELD_FRACTION)
 
     def start(self) -> None:
@@ -194,10 +198,11 @@
         """Returns free memory to the system before what may be held is lowered on account of it."""
         now = self.deadlines.clock.time()
         pause = RELIEF_SECONDS if self._headroom_bytes >= 0 else MIN_RELIEF_SECONDS
-        if now - self.relieved_at >= pause:
+        uncounted = self.resident_bytes - self.held.total_bytes
+        if uncounted - self.uncounted_bytes >= RELIEF_GROWTH_BYTES and now - self.relieved_at >= pause:
             self.relieved_at = now
             self.process.release_free()
-            self._read_resident()
+            self.uncounted_bytes = self._read_resident() - self.held.total_bytes
 
     def _log(self) -> None:
         self.logged_bytes = self.resident_bytes
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -271,3 +271,22 @@
             client.close()
 
     asyncio.run(scene())
+
+
+def test_a_connection_that_is_not_read_is_checked_by_one_timer(tmp_path: Path) -> None:
+    """Each query with others behind it started another timer, and all of them went on."""
+
+    async def scene() -> None:
+        async with (
+            ModelServer("platform", *["serve"] * 30, "hold").listening() as server,
+            running(tmp_path, [server]) as (program, ports),
+        ):
+            client = Client("platform", ports["platform"])
+            wire = await client.connect()
+            wire.writer.write(b"".join(request(number, 500) for number in range(60)))
+            await until(lambda: len(server.seen) == 31)
+            calls = [deadline.call for _, _, deadline in program.deadlines.heap]
+            assert [getattr(call, "__name__", "") for call in calls].count("_check_paused") == 1
+            client.close()
+
+    asyncio.run(scene())
