Spare new connections while memory is short of data that others hold

Making room ended connections that wait for their first request, the oldest first, though they hold nothing; the code before the common limit looked at what each held.

test_a_new_connection_is_not_closed_for_memory_that_others_hold failed before and passes. client_memory, memory_under_crowds: 18 passed.

--- a/pearstall/net/client_links.py
+++ b/pearstall/net/client_links.py
@@ -124,13 +124,21 @@
                 break  # an idle one holds no data
             if other is not link and other.close_if_idle():
                 other.log_close("closed between two requests: memory limit reached")
-        for other in list(self.awaiting_request):
+        for other, since in list(self.awaiting_request.items()):
             if not self.memory.short:
                 return True
-            if other is not link and not other.waiting_since and not other.closing:
+            if other is not link and self._may_end_for_memory(other, since):
                 other.stop_waiting()
         return not self.memory.short
 
+    def _may_end_for_memory(self, link: ClientLink, since: float) -> bool:
+        """Whether it gains something to end an incomplete request, or a connection that waits for its first one."""
+        if link.waiting_since or link.closing:
+            return False
+        if link.held_bytes:
+            return True
+        return self.memory.too_many_connections and self.deadlines.clock.time() - since >= EVICTION_GRACE_SECONDS
+
     def _recount(self) -> None:
         """Clients may have read answers since what is held for them was counted."""
         now = self.deadlines.clock.time()
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -290,3 +290,20 @@
             client.close()
 
     asyncio.run(scene())
+
+
+def test_a_new_connection_is_not_closed_for_memory_that_others_hold(tmp_path: Path) -> None:
+    """It holds nothing yet, and its request may be on its way."""
+
+    async def scene() -> None:
+        async with ModelServer("platform").listening() as server, running(tmp_path, [server]) as (program, ports):
+            program.clients.memory.max_bytes = 30_000
+            client = Client("platform", ports["platform"])
+            await client.connect()
+            await until(lambda: len(program.clients.links) == 1)
+            await bad_client(ports["platform"], request(1, PIPELINED_BODY_BYTES)[:-1])
+            assert program.counters.crowded_out
+            assert (await client.ask())[0] == "served"
+            client.close()
+
+    asyncio.run(scene())
